--- /dev/null
+++ b/yewhook/__main__.py
@@ -0,0 +1,3 @@
+from .cli import app
+
+app()
--- /dev/null
+++ b/yewhook/channel.py
@@ -0,0 +1,163 @@
+"""One non-blocking TCP connection on the loop: what both fronts stand on."""
+
+from __future__ import annotations
+
+import errno
+import selectors
+import socket
+from typing import Protocol
+
+from .loop import Loop
+
+READ_SIZE = 65536
+LINGER = 1.0  # s for the peer to take in the last answer before the socket goes
+
+
+class Owner(Protocol):
+    def connected(self) -> None: ...
+
+    def received(self, data: bytes) -> None: ...
+
+    def drained(self) -> None:
+        """Everything handed to `send` has been written."""
+
+    def lost(self, error: OSError | None) -> None:
+        """The connection is gone: an error, or None where the peer ended it in good order."""
+
+
+class Channel:
+    def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, connecting: bool = False) -> None:
+        self.loop, self.owner = loop, owner
+        self.closed = False
+        self._sock, self._connecting = sock, connecting
+        self._out = bytearray()
+        self._paused = self._finishing = False
+        loop.sockets += 1
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._watch()
+
+    @classmethod
+    def connect(cls, loop: Loop, address: tuple[str, int], owner: Owner) -> Channel:
+        """Begin to connect; the owner hears `connected`, or `lost` in a later turn. Raises OSError."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        code = sock.connect_ex(address)
+        if code not in (0, errno.EINPROGRESS):
+            sock.close()
+            raise OSError(code, "connect")
+        return cls(loop, sock, owner, connecting=True)
+
+    @property
+    def unsent(self) -> int:
+        return len(self._out)
+
+    @property
+    def stale(self) -> bool:
+        """Whether an idle connection has been ended by its peer, or has bytes that nobody asked for."""
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def send(self, data: bytes) -> None:
+        if self.closed or self._finishing:
+            return
+        self._out += data
+        if not self._connecting:
+            self._flush()
+
+    def pause(self, paused: bool) -> None:
+        if self._paused != paused:
+            self._paused = paused
+            self._watch()
+
+    def finish(self) -> None:
+        """Close once all is written and the peer has closed too, or after a while."""
+        if self.closed or self._finishing:
+            return
+        self._finishing, self._paused = True, False
+        self.loop.after(LINGER, self.abort)
+        if not self._out:
+            self._end_sending()
+
+    def abort(self) -> None:
+        """Close now; the owner hears nothing more."""
+        if not self.closed:
+            self.closed = True
+            self.loop.watch(self._sock, 0, self._ready)
+            self._sock.close()
+            self.loop.sockets -= 1
+
+    def _watch(self) -> None:
+        if self.closed:
+            return
+        read = 0 if self._paused or self._connecting else selectors.EVENT_READ
+        write = selectors.EVENT_WRITE if self._out or self._connecting else 0
+        self.loop.watch(self._sock, read | write, self._ready)
+
+    def _ready(self, mask: int) -> None:
+        if self._connecting:
+            self._connecting = False
+            if code := self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                return self._lost(OSError(code, "connect"))
+            self.owner.connected()
+            if not self.closed:
+                self._flush()
+                self._watch()
+            return None
+        if mask & selectors.EVENT_READ and not self._receive():
+            return None
+        if mask & selectors.EVENT_WRITE and not self.closed and self._out:
+            self._flush()
+        return None
+
+    def _receive(self) -> bool:
+        try:
+            data = self._sock.recv(READ_SIZE)
+        except BlockingIOError:
+            return True
+        except OSError as error:
+            self._lost(error)
+            return False
+        if not data:
+            self._lost(None)
+            return False
+        if not self._finishing:
+            self.owner.received(data)
+        return not self.closed
+
+    def _flush(self) -> None:
+        if not self._out:
+            return
+        try:
+            sent = self._sock.send(self._out)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            # What the peer sent before the break still counts: reading it finds the end, too.
+            self._out.clear()
+            self._paused = False
+            return self._watch()
+        del self._out[:sent]
+        self._watch()
+        if self._out:
+            return None
+        if self._finishing:
+            return self._end_sending()
+        return self.owner.drained()
+
+    def _end_sending(self) -> None:
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.abort()
+
+    def _lost(self, error: OSError | None) -> None:
+        finishing = self._finishing
+        self.abort()
+        if not finishing:
+            self.owner.lost(error)
--- /dev/null
+++ b/yewhook/config.py
@@ -0,0 +1,112 @@
+"""What a router is told at its start, checked once; every complaint is one plain sentence."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from hopshed import wire
+from hopshed.interface import Settings
+
+
+class ConfigError(Exception):
+    """What is wrong with a configuration, for the person who wrote it."""
+
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """The names of the settings, whose places the module works with."""
+
+    classes: tuple[str, ...]
+    tenants: tuple[str, ...]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    columns: tuple[str, ...]  # of load reports
+
+
+MOST_SOCKETS, MOST_MEMORY_MB = 1024, 192  # whatever more the platform would allow
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    sockets: int
+    memory_mb: int
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    settings: Settings
+    names: Names
+    limits: Limits
+    connect_timeout: float
+    idle_limit: float  # s after which a worker closes an idle connection
+    known: dict[str, Any]  # the list of workers as last held, in discovery's form
+
+
+def address(text: Any, what: str) -> Address:
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{what}: expected host:port, got {text!r}")
+    return host, int(port)
+
+
+def names(env: Mapping[str, Any]) -> Names:
+    return Names(
+        tuple(str(c["name"]) for c in env["classes"]),
+        tuple(str(t["name"]) for t in env.get("customers") or []),
+        tuple(env.get("zones") or []),
+        tuple(env.get("shapes") or []),
+        tuple(wire.columns(dict(env))),
+    )
+
+
+def translate(env: Mapping[str, Any]) -> tuple[Settings, Names]:
+    """The module's settings and the names they go by."""
+    try:
+        return wire.settings(dict(env)), names(env)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"settings: {type(error).__name__} {error}") from error
+
+
+def read(environ: Mapping[str, str]) -> Config:
+    path = environ.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG is not set: it names the JSON file with the configuration")
+    try:
+        raw = json.loads(Path(path).read_text())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+    if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
+        raise ConfigError(f"{path}: expected an object with 'settings'")
+    env = raw["settings"]
+    settings, known_names = translate(env)
+    caps = env.get("caps") or {}
+    limits = raw.get("limits") or {}
+    try:
+        return Config(
+            name=str(environ.get("PROXY_NAME") or raw.get("name") or "router"),
+            listen=address(environ.get("PROXY_LISTEN") or raw.get("listen"), "PROXY_LISTEN"),
+            discovery=address(environ.get("PROXY_DISCOVERY") or raw.get("discovery"), "PROXY_DISCOVERY"),
+            seed=int(str(raw.get("seed") or "0"), 16),
+            settings=settings,
+            names=known_names,
+            limits=Limits(
+                min(int(limits.get("sockets") or MOST_SOCKETS), MOST_SOCKETS),
+                min(int(limits.get("memory_mb") or MOST_MEMORY_MB), MOST_MEMORY_MB),
+            ),
+            connect_timeout=float(caps.get("connect-timeout-ms") or 250.0) / 1000.0,
+            idle_limit=float(caps.get("conn-idle-ms") or 30000.0) / 1000.0,
+            known=raw.get("known") or {},
+        )
+    except (TypeError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from error
--- /dev/null
+++ b/yewhook/core/__init__.py
@@ -0,0 +1,1 @@
+"""The life of a request, on any front. Nothing in this package knows sockets, HTTP or JSON."""
--- /dev/null
+++ b/yewhook/core/life.py
@@ -0,0 +1,55 @@
+"""The records of a request's life. `router.py` moves them from stage to stage."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from hopshed.interface import Effect, RequestArrived
+
+from ..deadlines import Deadline
+from .ending import Ending
+from .ports import Client
+
+
+class Stage(Enum):
+    ACCEPTED = auto()  # taken; the module has not been told yet
+    DECIDING = auto()  # the module holds it, or chooses where it goes next
+    ATTEMPT_OUT = auto()
+    STREAMING = auto()  # the answer has begun: the running attempt belongs to the client
+    ENDED = auto()  # its one final answer has been given, or nobody waits for it any more
+
+
+@dataclass(eq=False, slots=True)
+class Attempt:
+    number: int
+    server: int
+    reads: bool  # at a reader, where it has no effect however it ends
+    sent: float
+    live: bool = True
+    ending: Ending | None = None
+    timer: Deadline | None = None
+
+
+@dataclass(eq=False, slots=True)
+class Life:
+    arrived: RequestArrived
+    effect: Effect
+    client: Client
+    call: object  # what the front wants carried to the worker
+    deadline: float
+    stage: Stage = Stage.ACCEPTED
+    attempts: list[Attempt] = field(default_factory=list)
+    may_hold: bool = False  # a worker may hold a state for it
+    timers: list[Deadline] = field(default_factory=list)
+    let_go: Deadline | None = None
+
+    @property
+    def id(self) -> str:
+        return self.arrived.id
+
+    @property
+    def out(self) -> Attempt | None:
+        """The attempt that is out; there is never a second one."""
+        last = self.attempts[-1] if self.attempts else None
+        return last if last is not None and last.live else None
--- /dev/null
+++ b/yewhook/core/ports.py
@@ -0,0 +1,42 @@
+"""What the core asks of a front: of the client of one request, and of the workers' side."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from .ending import Ending
+
+
+class Client(Protocol):
+    """The client's end of one request. Exactly one of finish, break_off, refuse and fail is called, once."""
+
+    def pass_on(self, event: bytes) -> None:
+        """Pass on one event of the running stream; the first one opens the answer."""
+
+    def finish(self) -> None:
+        """The stream is whole."""
+
+    def break_off(self, ending: Ending) -> None:
+        """The stream ends before it is whole."""
+
+    def refuse(self, retry_after: float) -> None:
+        """Not served, and trying again is harmless; 0 = no advice on when."""
+
+    def fail(self, ending: Ending | None) -> None:
+        """Not served, nothing promised."""
+
+
+class Workers(Protocol):
+    """The way to the workers. What comes of an attempt is told to the core, once, by `Router.ended`."""
+
+    def send(self, request_id: str, attempt: int, server: int, call: object, timeout: float) -> None:
+        """Send one attempt; `call` is what the front handed in with the request."""
+
+    def abort(self, request_id: str, attempt: int) -> bool:
+        """Abandon an attempt; nothing more is told of it. Whether its last byte had been written."""
+
+    def release(self, request_id: str) -> None:
+        """Let go of all that is held for the request, at any worker."""
+
+    def pause(self, request_id: str, attempt: int, paused: bool) -> None:
+        """Stop or go on reading a stream whose client is slow."""
--- /dev/null
+++ b/yewhook/core/router.py
@@ -0,0 +1,325 @@
+"""One router's requests: facts in, one call of the module a turn, its actions out.
+
+Whatever the front, this keeps what must hold: one final answer, one attempt at a time, no repeat of an unsafe
+request that may have run, nothing new to a server long told to drain, and no state left held.
+"""
+
+from __future__ import annotations
+
+import traceback
+from collections.abc import Callable
+from typing import Any
+
+from hopshed import Controller
+from hopshed import interface as i
+
+from ..deadlines import Deadline, Deadlines
+from ..log import Log
+from .ending import MAY_HOLD, NO_STATE_NOTE, OUTCOMES, Ending
+from .life import Attempt, Life, Stage
+from .ports import Client, Workers
+
+ANSWER_GRACE = 0.02  # s after its deadline at which a request that the module left open is answered
+LET_GO = 0.8  # part of the release limit after which the core lets go of what the module forgot
+
+
+class Router:
+    def __init__(
+        self,
+        settings: i.Settings,
+        seed: int,
+        deadlines: Deadlines,
+        clock: Callable[[], float],
+        workers: Workers,
+        log: Log,
+    ) -> None:
+        self.settings, self.workers, self.log = settings, workers, log
+        self.lives: dict[str, Life] = {}
+        self.servers: dict[int, i.Server] = {}
+        self._module = Controller(settings, seed)
+        self._seed = seed
+        self._deadlines, self._clock = deadlines, clock
+        self._facts: list[i.Event] = []
+        self._unsettled: list[Life] = []
+        self._told_off: dict[int, float] = {}  # server -> since when it is told to drain or be gone
+        self._module_timer: Deadline | None = None
+        self._do: dict[type, Callable[[Any], None]] = {
+            i.Send: self._send, i.Refuse: self._refuse, i.Fail: self._fail, i.ReleaseState: self._release,
+            i.CancelAttempt: self._cancel, i.MoveStream: self._move, i.SetTimer: self._set_timer,
+            i.Log: lambda act: self.log("module", act.text),
+            i.Subscribe: lambda act: None,  # discovery pushes
+            i.Probe: lambda act: self._facts.append(i.ProbeEnded(act.server, False, 0.0)),  # not permitted
+        }  # fmt: skip
+
+    @property
+    def busy(self) -> bool:
+        return bool(self.lives)
+
+    # ---- facts from a front ----
+
+    def accept(self, arrived: i.RequestArrived, client: Client, call: object) -> bool:
+        """Take a request over; False where one with this id is still open."""
+        if arrived.id in self.lives:
+            return False
+        effect = self.settings.classes[arrived.cls].effect
+        life = self.lives[arrived.id] = Life(arrived, effect, client, call, self._clock() + arrived.patience)
+        at = life.deadline + ANSWER_GRACE
+        life.timers.append(self._deadlines.set(at, lambda: self._overdue(life)))
+        self._facts.append(arrived)
+        return True
+
+    def client_left(self, request_id: str, ending: Ending = Ending.CLIENT_LEFT) -> None:
+        life = self.lives.get(request_id)
+        if life is None or life.stage is Stage.ENDED:
+            return
+        if life.stage is not Stage.STREAMING:
+            self._facts.append(i.ClientGone(request_id))
+        self._end(life, ending)
+
+    def client_slow(self, request_id: str, slow: bool) -> None:
+        life = self.lives.get(request_id)
+        if life is not None and life.stage is Stage.STREAMING and life.out is not None:
+            self.workers.pause(request_id, life.out.number, slow)
+
+    def break_off_streams(self) -> None:
+        """End all running streams in good order, for the process is about to go."""
+        for life in list(self.lives.values()):
+            if life.stage is Stage.STREAMING:
+                self._move(i.MoveStream(life.id))
+
+    # ---- facts from the workers' side ----
+
+    def listed(self, kind: i.ListKind, servers: tuple[i.Server, ...]) -> None:
+        """A list of servers, or changes to it, as discovery has just written it."""
+        named = {server.id: server for server in servers}
+        if kind is not i.ListKind.CHANGES:
+            gone = (s for n, s in self.servers.items() if n not in named)
+            named |= {s.id: s._replace(state=i.ServerState.GONE) for s in gone}
+        for server in named.values():
+            self.servers[server.id] = server
+            if server.state is i.ServerState.RUNNING:
+                self._told_off.pop(server.id, None)
+            else:
+                self._told_off.setdefault(server.id, self._clock())
+        self._facts.append(i.ServersListed(kind, servers))
+
+    def event(self, request_id: str, number: int, data: bytes) -> None:
+        """One event of an attempt's stream; with the first, the attempt belongs to the client."""
+        life, attempt = self._out(request_id, number)
+        if life is None or attempt is None or life.stage is Stage.ENDED:
+            return
+        if life.stage is not Stage.STREAMING:
+            life.stage, life.may_hold = Stage.STREAMING, False
+            self._stop_timers(life, attempt)
+            latency = self._clock() - attempt.sent
+            self._facts.append(i.StreamStarted(request_id, number, attempt.server, latency))
+        life.client.pass_on(data)
+
+    def ended(
+        self, request_id: str, number: int, ending: Ending, note: int = 0, load: i.Load | None = None
+    ) -> None:
+        """An attempt has ended; each is told of once."""
+        life, attempt = self._out(request_id, number)
+        if life is None or attempt is None:
+            return
+        attempt.live, attempt.ending = False, ending
+        self._deadlines.cancel(attempt.timer)
+        outcome = OUTCOMES[ending]
+        if ending is Ending.STATE_GONE:
+            note = NO_STATE_NOTE
+        if attempt.reads and outcome in MAY_HOLD:
+            life.may_hold = True
+        if life.stage is Stage.STREAMING:
+            self._finish(life, ending)
+        elif life.stage is Stage.ATTEMPT_OUT:
+            life.stage = Stage.DECIDING
+        closed = life.stage is Stage.ENDED
+        latency = self._clock() - attempt.sent
+        self._facts.append(
+            i.AttemptEnded(request_id, number, attempt.server, outcome, latency, closed, note, load)
+        )
+        self._unsettled.append(life)
+
+    # ---- the turn ----
+
+    def turn(self, now: float) -> bool:
+        events, self._facts = self._facts, []
+        if events:
+            for event in events:
+                if isinstance(event, i.RequestArrived) and (life := self.lives.get(event.id)):
+                    life.stage = Stage.DECIDING if life.stage is Stage.ACCEPTED else life.stage
+            try:
+                for act in self._module.handle(now, events):
+                    self._do[type(act)](act)
+            except Exception:
+                self.log("turn failed", traceback.format_exc().replace("\n", " | "))
+                self._start_over()
+        unsettled, self._unsettled = self._unsettled, []
+        for life in unsettled:
+            self._settle(life)
+        return bool(self._facts)
+
+    def _start_over(self) -> None:
+        """The module failed half-way: answer what waits on it, and go on with a fresh one."""
+        for life in list(self.lives.values()):
+            if life.stage not in (Stage.STREAMING, Stage.ENDED):
+                self._decline(life, 0.0)
+        self._deadlines.cancel(self._module_timer)
+        self._module = Controller(self.settings, self._seed)
+        kept = tuple(s for s in self.servers.values() if s.state is not i.ServerState.GONE)
+        self._facts = [i.ServersListed(i.ListKind.FULL, kept)]
+
+    # ---- the module's actions ----
+
+    def _send(self, act: i.Send) -> None:
+        life = self.lives.get(act.id)
+        if life is None:
+            self.log("send for an unknown request", act.id)
+            return
+        server = self.servers.get(act.server)
+        number = len(life.attempts)
+        reads = server is not None and self.settings.roles[server.kind] is i.Role.READER
+        forbidden = self._forbidden(life, act.server)
+        if forbidden:
+            self.log("send withheld", f"{act.id} attempt {number}: {forbidden}")
+            life.attempts.append(Attempt(number, act.server, reads, self._clock(), False, Ending.NOT_SENT))
+            closed = life.stage is Stage.ENDED
+            self._facts.append(
+                i.AttemptEnded(act.id, number, act.server, OUTCOMES[Ending.NOT_SENT], 0.0, closed)
+            )
+            return
+        left = life.deadline - self._clock()
+        timeout = min(act.timeout, left) if act.timeout > 0 else left
+        attempt = Attempt(number, act.server, reads, self._clock())
+        life.attempts.append(attempt)
+        life.stage = Stage.ATTEMPT_OUT
+        self._deadlines.cancel(life.let_go)
+        attempt.timer = self._deadlines.set(self._clock() + timeout, lambda: self._timed_out(life, attempt))
+        self.workers.send(act.id, number, act.server, life.call, timeout)
+
+    def _forbidden(self, life: Life, server: int) -> str:
+        if life.stage is not Stage.DECIDING:
+            return f"the request is {life.stage.name.lower()}"
+        if life.out is not None:
+            return "an attempt is out"
+        if len(life.attempts) >= self.settings.max_attempts:
+            return "no attempts left"
+        if self._clock() >= life.deadline:
+            return "its time has run out"
+        if server not in self.servers:
+            return "a server that no list has named"
+        if self._clock() - self._told_off.get(server, self._clock()) > self.settings.drain_grace:
+            return "the server drains or is gone"
+        if life.effect is i.Effect.UNSAFE and self._may_have_run(life):
+            return "it may have run already"
+        return ""
+
+    @staticmethod
+    def _may_have_run(life: Life) -> bool:
+        """An attempt at a reader has no effect; any other may have run unless its ending rules that out."""
+        others = [a for a in life.attempts if not a.reads]
+        return any(a.ending is None or not OUTCOMES[a.ending].never_ran for a in others)
+
+    def _refuse(self, act: i.Refuse) -> None:
+        if life := self.lives.get(act.id):
+            self._decline(life, act.retry_after)
+
+    def _decline(self, life: Life, retry_after: float) -> None:
+        """Refuse, which promises that a repeat is harmless, or fail where that can't be promised."""
+        cls = self.settings.classes[life.arrived.cls]
+        harmless = cls.effect is i.Effect.SAFE or (cls.effect, cls.group) == (i.Effect.KEYED, i.Group.ALL)
+        if harmless or not self._may_have_run(life):
+            self._end(life, None, lambda: life.client.refuse(retry_after))
+        else:
+            self._fail(i.Fail(life.id))
+
+    def _fail(self, act: i.Fail) -> None:
+        if life := self.lives.get(act.id):
+            last = life.attempts[-1].ending if life.attempts else None
+            self._end(life, None, lambda: life.client.fail(last))
+
+    def _release(self, act: i.ReleaseState) -> None:
+        if life := self.lives.get(act.id):
+            life.may_hold = False
+        self.workers.release(act.id)
+
+    def _cancel(self, act: i.CancelAttempt) -> None:
+        life, attempt = self._out(act.id, act.attempt)
+        if life is not None and attempt is not None and life.stage is not Stage.STREAMING:
+            self._abort(life, attempt, Ending.CANCELED)
+
+    def _move(self, act: i.MoveStream) -> None:
+        life = self.lives.get(act.id)
+        if life is not None and life.stage is Stage.STREAMING:
+            self._end(life, Ending.MOVED, lambda: life.client.break_off(Ending.MOVED))
+
+    def _set_timer(self, act: i.SetTimer) -> None:
+        self._module_timer = self._deadlines.set(
+            self._clock() + act.delay, lambda: self._facts.append(i.TimerFired(act.token))
+        )
+
+    # ---- endings ----
+
+    def _out(self, request_id: str, number: int) -> tuple[Life | None, Attempt | None]:
+        life = self.lives.get(request_id)
+        attempt = life.out if life is not None else None
+        return life, attempt if attempt is not None and attempt.number == number else None
+
+    def _timed_out(self, life: Life, attempt: Attempt) -> None:
+        if attempt.live:
+            self._abort(life, attempt, Ending.TIMED_OUT)
+
+    def _abort(self, life: Life, attempt: Attempt, ending: Ending) -> None:
+        written = self.workers.abort(life.id, attempt.number)
+        if ending is Ending.TIMED_OUT and not written:
+            ending = Ending.UNSENT_IN_TIME
+        self.ended(life.id, attempt.number, ending)
+
+    def _overdue(self, life: Life) -> None:
+        if life.stage not in (Stage.STREAMING, Stage.ENDED):
+            self.log("answer overdue", life.id)
+            self._decline(life, 0.0)
+
+    def _finish(self, life: Life, ending: Ending) -> None:
+        """The running stream is over, by its own end."""
+        if ending is Ending.SERVED:
+            self._end(life, None, life.client.finish)
+        else:
+            self._end(life, None, lambda: life.client.break_off(ending))
+
+    def _end(self, life: Life, ending: Ending | None, answer: Callable[[], None] | None = None) -> None:
+        """The one way out of a life: at most one answer, no attempt left out, then what is held let go."""
+        if life.stage is Stage.ENDED:
+            return
+        life.stage = Stage.ENDED
+        self._stop_timers(life, life.out)
+        if answer is not None:
+            answer()
+        if life.out is not None:
+            self._abort(life, life.out, ending or Ending.CANCELED)
+        self._unsettled.append(life)
+
+    def _stop_timers(self, life: Life, attempt: Attempt | None) -> None:
+        for timer in life.timers:
+            self._deadlines.cancel(timer)
+        life.timers.clear()
+        if attempt is not None:
+            self._deadlines.cancel(attempt.timer)
+
+    def _settle(self, life: Life) -> None:
+        """With no attempt out, see to what workers may hold, and forget a request that has ended."""
+        if life.out is not None:
+            return
+        self._deadlines.cancel(life.let_go)
+        if life.stage is Stage.ENDED:
+            if life.may_hold:
+                self._let_go(life)
+            self.lives.pop(life.id, None)
+        elif life.may_hold:
+            at = self._clock() + LET_GO * self.settings.release_within
+            life.let_go = self._deadlines.set(at, lambda: self._let_go(life))
+
+    def _let_go(self, life: Life) -> None:
+        if life.may_hold and life.out is None:
+            life.may_hold = False
+            self.workers.release(life.id)
--- /dev/null
+++ b/yewhook/loop.py
@@ -0,0 +1,73 @@
+"""The one loop: gather what is ready, sweep what is due, let each router decide once, carry it out."""
+
+from __future__ import annotations
+
+import selectors
+import socket
+import time
+import traceback
+from collections.abc import Callable
+from typing import Protocol
+
+from .deadlines import Deadlines
+from .log import Log
+
+Handler = Callable[[int], None]
+
+
+class Turn(Protocol):
+    """Something that decides once a turn, on all that the turn has gathered."""
+
+    def turn(self, now: float) -> bool:
+        """Decide and carry out; whether this left something to decide on at once."""
+
+
+class Loop:
+    def __init__(self, log: Log) -> None:
+        self.log = log
+        self.deadlines = Deadlines()
+        self.deciders: list[Turn] = []
+        self.stopped = False
+        self.now = time.monotonic()
+        self.sockets = 0  # open ones that this process holds, as their owners count them
+        self._selector = selectors.DefaultSelector()
+
+    def watch(self, sock: socket.socket, events: int, handler: Handler) -> None:
+        """Watch a socket for these events (0 = none)."""
+        known = sock.fileno() in self._selector.get_map()
+        if events and known:
+            self._selector.modify(sock, events, handler)
+        elif events:
+            self._selector.register(sock, events, handler)
+        elif known:
+            self._selector.unregister(sock)
+
+    def after(self, seconds: float, call: Callable[[], None]) -> None:
+        self.deadlines.set(self.now + seconds, call)
+
+    def run(self) -> None:
+        again = False
+        while not self.stopped:
+            again = self.run_turn(0.0 if again else None)
+        self._selector.close()
+
+    def run_turn(self, longest: float | None = None) -> bool:
+        due = self.deadlines.next()
+        wait = longest if due is None else max(0.0, due - time.monotonic())
+        if longest is not None:
+            wait = min(longest, wait or 0.0)
+        ready = self._selector.select(wait)
+        self.now = time.monotonic()
+        for key, mask in ready:
+            if self._selector.get_map().get(key.fd) is key:  # an earlier handler may have closed it
+                self._guard(lambda key=key, mask=mask: key.data(mask))  # type: ignore[misc]
+        for call in self.deadlines.due(self.now):
+            self._guard(call)
+        return any([decider.turn(self.now) for decider in self.deciders])
+
+    def _guard(self, call: Callable[[], None]) -> None:
+        """One socket's failure must not take the others along."""
+        try:
+            call()
+        except Exception:
+            self.log("handler failed", traceback.format_exc().replace("\n", " | "))
--- /dev/null
+++ b/yewhook/platform/discovery.py
@@ -0,0 +1,167 @@
+"""The watch on the list of workers: kept open, opened again when it is silent or breaks."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from hashlib import blake2b
+from typing import Any
+
+import httptools
+
+from hopshed import interface as i
+
+from ..channel import Channel
+from ..config import Address, Names, address
+from ..loop import Loop
+from . import http
+
+SILENCE = 4.0  # s; an empty line comes every 2
+AGAIN = (0.05, 1.0)  # s until the next try, doubling
+LINE_LIMIT = 4 * 1024 * 1024
+STATES = {
+    "up": i.ServerState.RUNNING,
+    "draining": i.ServerState.DRAINING,
+    "removed": i.ServerState.GONE,
+}
+
+
+def server_id(instance: str) -> int:
+    """The same number for a worker at every router, whatever order they heard of it in."""
+    return int.from_bytes(blake2b(instance.encode(), digest_size=6).digest(), "big")
+
+
+class Registry:
+    """Translates discovery's entries into the module's servers, and keeps their addresses."""
+
+    def __init__(self, names: Names, unix_offset: float) -> None:
+        self._names, self._offset = names, unix_offset  # monotonic less Unix time
+        self.addresses: dict[int, Address] = {}
+        self.states: dict[int, i.ServerState] = {}
+
+    def entry(self, raw: dict[str, Any]) -> i.Server:
+        number = server_id(str(raw["instanceId"]))
+        started = float(raw.get("startedAtMs") or 0.0)
+        zone, kind = raw.get("zone"), raw.get("machineType")
+        return i.Server(
+            number,
+            self._names.kinds.index(kind) if kind in self._names.kinds else -1,
+            self._names.zones.index(zone) if zone in self._names.zones else 0,
+            int(raw.get("cell") or 0),
+            STATES[raw["lifecycle"]],
+            started / 1000.0 + self._offset if started else None,
+            float(raw.get("weight") or 1.0),
+        )
+
+    def read(self, message: dict[str, Any]) -> tuple[i.Server, ...]:
+        """The servers of a list or of changes. Raises ValueError, KeyError or TypeError."""
+        servers = []
+        for raw in message.get("instances") or []:
+            server = self.entry(raw)
+            if server.kind < 0:
+                continue  # a kind of machine that the settings don't know has no role here
+            if raw.get("hostPort"):
+                self.addresses[server.id] = address(raw["hostPort"], "hostPort")
+            servers.append(server)
+        if message.get("reset"):
+            named = {server.id for server in servers}
+            self.states = {n: s for n, s in self.states.items() if n in named}
+        self.states.update((server.id, server.state) for server in servers)
+        return tuple(servers)
+
+    def in_use(self) -> set[Address]:
+        there = (n for n, state in self.states.items() if state is not i.ServerState.GONE)
+        return {self.addresses[n] for n in there if n in self.addresses}
+
+    def running(self) -> list[Address]:
+        up = (n for n, state in self.states.items() if state is i.ServerState.RUNNING)
+        return [self.addresses[n] for n in up if n in self.addresses]
+
+
+class Watch:
+    def __init__(
+        self,
+        loop: Loop,
+        address: Address,
+        generation: int,
+        registry: Registry,
+        listed: Callable[[i.ListKind, tuple[i.Server, ...]], None],
+    ) -> None:
+        self._loop, self._address, self._generation = loop, address, generation
+        self._registry, self._listed = registry, listed
+        self._wait = AGAIN[0]
+        self._channel: Channel | None = None
+        self._connect()
+
+    def _connect(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._line, self._status = b"", 0
+        self._heard = self._loop.now
+        try:
+            self._channel = Channel.connect(self._loop, self._address, self)
+        except OSError as error:
+            return self._again(str(error))
+        target = f"/v1/servers?watch=1&after={self._generation}"
+        self._channel.send(http.head(f"GET {target} HTTP/1.1", {"Host": "discovery"}))
+        return self._check(self._channel)
+
+    def _check(self, channel: Channel) -> None:
+        if self._channel is not channel:
+            return
+        if self._loop.now - self._heard > SILENCE:
+            return self._again("silent")
+        self._loop.after(0.5, lambda: self._check(channel))
+
+    def _again(self, why: str) -> None:
+        self._loop.log("discovery watch lost", f"{why}; again in {self._wait:.2f} s")
+        if self._channel is not None:
+            self._channel.abort()
+            self._channel = None
+        self._loop.after(self._wait, self._connect)
+        self._wait = min(2 * self._wait, AGAIN[1])
+
+    def close(self) -> None:
+        if self._channel is not None:
+            self._channel.abort()
+            self._channel = None
+
+    def connected(self) -> None:
+        """The request is on its way."""
+
+    def drained(self) -> None:
+        """The request is written."""
+
+    def lost(self, error: OSError | None) -> None:
+        self._again(str(error or "ended"))
+
+    def received(self, data: bytes) -> None:
+        self._heard = self._loop.now
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._again(f"not understood: {error.__context__ or error}")
+
+    def on_headers_complete(self) -> None:
+        self._status = self._parser.get_status_code()
+        if self._status != 200:
+            raise ValueError(f"status {self._status}")
+
+    def on_body(self, body: bytes) -> None:
+        *lines, self._line = (self._line + body).split(b"\n")
+        if len(self._line) > LINE_LIMIT:
+            raise ValueError("a line without end")
+        for line in lines:
+            if line.strip():
+                self.message(json.loads(line))
+
+    def message(self, message: dict[str, Any]) -> None:
+        try:
+            servers = self._registry.read(message)
+            generation = int(message["generation"])
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ValueError(f"an entry: {type(error).__name__} {error}") from error
+        self._generation, self._wait = generation, AGAIN[0]
+        self._listed(i.ListKind.FULL if message.get("reset") else i.ListKind.CHANGES, servers)
+
+    def on_message_complete(self) -> None:
+        raise ValueError("the answer ended")
--- /dev/null
+++ b/yewhook/platform/http.py
@@ -0,0 +1,44 @@
+"""The little of HTTP/1.1 that clients' and workers' sides share: heads, chunks and events of a stream."""
+
+from __future__ import annotations
+
+REASONS = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+    411: "Length Required", 413: "Content Too Large", 429: "Too Many Requests",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
+    503: "Service Unavailable", 504: "Gateway Timeout",
+}  # fmt: skip
+BODY_LIMIT = 256 * 1024
+HEAD_LIMIT = 32 * 1024
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def head(start: str, headers: dict[str, str]) -> bytes:
+    lines = [start, *(f"{name}: {value}" for name, value in headers.items())]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def answer(status: int, body: bytes = b"", headers: dict[str, str] | None = None) -> bytes:
+    fields = {"Content-Type": "text/plain", "Content-Length": str(len(body))} | (headers or {})
+    return head(f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}", fields) + body
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class EventSplitter:
+    """Cuts a stream of server-sent events into whole events, wherever the reads fell."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The events that are whole now, each with the blank line that ends it."""
+        *whole, self._rest = (self._rest + data).split(b"\n\n")
+        return [event + b"\n\n" for event in whole]
+
+    def rest(self) -> bytes:
+        """What stands after the last blank line, once the stream has ended."""
+        rest, self._rest = self._rest, b""
+        return rest
--- /dev/null
+++ b/yewhook/platform/workers.py
@@ -0,0 +1,347 @@
+"""The workers' side: a pool of connections, and one HTTP exchange at a time on each."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import httptools
+
+from hopshed import interface as i
+from hopshed import wire
+
+from ..channel import Channel
+from ..config import Address
+from ..core.ending import Ending
+from ..loop import Loop
+from . import http
+from .clients import Call
+
+IDLE_PART = 0.5  # part of the workers' idle limit after which this side closes an idle connection
+ANSWER_LIMIT = 64 * 1024  # bytes of an answer that is not a stream
+EVENT_LIMIT = 512 * 1024  # bytes of one event
+REPORT = "X-Pressure"
+REPORT_COMMENT = b": X-Pressure:"
+# Names under which a report may hold what the settings' columns name
+SAME = {"avg_ms": "latency_ms", "active": "inflight", "waiting": "queue", "cpu": "util", "rps": "qps",
+        "err_rps": "eps"}  # fmt: skip
+
+
+def report(text: str | bytes, columns: tuple[str, ...]) -> i.Load | None:
+    """A load report; None where it is missing or not understood, for a report is only advice."""
+    try:
+        raw = json.loads(text)
+        row = [raw.get(name, raw.get(SAME.get(name, name))) for name in columns]
+        return wire.load(row, list(columns))
+    except (ValueError, AttributeError, TypeError):
+        return None
+
+
+class Exchange(Protocol):
+    """What is asked of a worker on one connection."""
+
+    def begun(self, status: int, headers: dict[str, str]) -> None: ...
+
+    def body(self, data: bytes) -> None: ...
+
+    def whole(self) -> None: ...
+
+    def broken(self, ending: Ending) -> None: ...
+
+
+class WorkerConnection:
+    def __init__(self, pool: WorkerPool, address: Address) -> None:
+        self.pool, self.address = pool, address
+        self.exchange: Exchange | None = None
+        self.up = False
+        self.idle_since = 0.0
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: dict[str, str] = {}
+        self._complete = False
+        self.channel = Channel.connect(pool.loop, address, self)
+        pool.loop.after(pool.connect_timeout, self._too_late)
+
+    @property
+    def written(self) -> bool:
+        """Whether the last byte of what is asked has been handed over."""
+        return self.up and not self.channel.unsent
+
+    def ask(self, exchange: Exchange, request: bytes) -> None:
+        self.exchange = exchange
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers, self._complete = {}, False
+        self.channel.send(request)
+
+    def close(self) -> None:
+        self.exchange = None
+        self.channel.abort()
+        self.pool.forget(self)
+
+    # ---- the channel ----
+
+    def connected(self) -> None:
+        self.up = True
+
+    def _too_late(self) -> None:
+        if not self.up and not self.channel.closed:
+            self._broken(Ending.CONNECT_SILENT)
+
+    def drained(self) -> None:
+        """What is asked has been written whole."""
+
+    def received(self, data: bytes) -> None:
+        if self.exchange is None:
+            return self.close()  # bytes that nobody asked for
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.pool.log("worker answer not understood", f"{self.address[0]}:{self.address[1]} {error}")
+            return self._broken(Ending.GARBLED)
+        if self._complete:
+            exchange, self.exchange = self.exchange, None
+            if self._parser.should_keep_alive() and self.written:
+                self.pool.keep(self)
+            else:
+                self.close()
+            if exchange is not None:
+                exchange.whole()
+        return None
+
+    def lost(self, error: OSError | None) -> None:
+        if not self.up:
+            return self._broken(Ending.CONNECT_REFUSED)
+        if not self.written:
+            return self._broken(Ending.BROKEN_UNSENT)
+        return self._broken(Ending.CLOSED if error is None else Ending.BROKEN)
+
+    def _broken(self, ending: Ending) -> None:
+        exchange = self.exchange
+        self.close()
+        if exchange is not None:
+            exchange.broken(ending)
+
+    # ---- the parser ----
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        if self.exchange is not None:
+            self.exchange.begun(self._parser.get_status_code(), self._headers)
+
+    def on_body(self, body: bytes) -> None:
+        if self.exchange is not None:
+            self.exchange.body(body)
+
+    def on_message_complete(self) -> None:
+        self._complete = True
+
+
+class WorkerPool:
+    """Connections to workers by address, those in use and those kept for the next exchange."""
+
+    def __init__(
+        self, loop: Loop, room: Callable[[], bool], connect_timeout: float, idle_limit: float
+    ) -> None:
+        self.loop, self.log = loop, loop.log
+        self.connect_timeout, self._keep_for = connect_timeout, idle_limit * IDLE_PART
+        self._room = room
+        self._idle: dict[Address, list[WorkerConnection]] = {}
+        self._sweep()
+
+    def ask(self, address: Address, exchange: Exchange, request: bytes) -> WorkerConnection:
+        """Ask on a kept connection that is still good, the youngest first, else on a new one.
+
+        Raises OSError where none can be opened.
+        """
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if not connection.channel.stale:
+                connection.ask(exchange, request)
+                return connection
+            connection.close()
+        if not self._room() and not self._make_room():
+            raise OSError("too many sockets")
+        connection = WorkerConnection(self, address)
+        connection.ask(exchange, request)
+        return connection
+
+    def keep(self, connection: WorkerConnection) -> None:
+        connection.idle_since = self.loop.now
+        self._idle.setdefault(connection.address, []).append(connection)
+
+    def forget(self, connection: WorkerConnection) -> None:
+        idle = self._idle.get(connection.address, [])
+        if connection in idle:
+            idle.remove(connection)
+
+    def latest(self) -> list[Address]:
+        """Addresses with a kept connection, the one last used first: those workers live."""
+        youngest = {address: idle[-1].idle_since for address, idle in self._idle.items() if idle}
+        return sorted(youngest, key=lambda address: youngest[address], reverse=True)
+
+    def keep_only(self, addresses: set[Address]) -> None:
+        """Close what is kept to addresses that no worker has any more."""
+        for address in self._idle.keys() - addresses:
+            for connection in self._idle.pop(address):
+                connection.close()
+
+    def _make_room(self) -> bool:
+        kept = (c for idle in self._idle.values() for c in idle)
+        oldest = min(kept, key=lambda c: c.idle_since, default=None)
+        if oldest is not None:
+            oldest.close()
+        return oldest is not None
+
+    def _sweep(self) -> None:
+        """A worker closes what stands idle; a request that crosses this is lost, so this side goes first."""
+        for idle in self._idle.values():
+            for connection in [c for c in idle if self.loop.now - c.idle_since > self._keep_for]:
+                connection.close()
+        self.loop.after(min(1.0, self._keep_for / 4), self._sweep)
+
+
+class Told(Protocol):
+    """Where an attempt's events and its end are told: the core's router."""
+
+    def event(self, request_id: str, number: int, data: bytes) -> None: ...
+
+    def ended(
+        self, request_id: str, number: int, ending: Ending, note: int = 0, load: i.Load | None = None
+    ) -> None: ...
+
+
+class AttemptExchange:
+    """One attempt at one worker, from its answer's head to its end."""
+
+    def __init__(self, workers: HttpWorkers, request_id: str, attempt: int) -> None:
+        self.workers, self.request_id, self.attempt = workers, request_id, attempt
+        self.connection: WorkerConnection | None = None
+        self._status = 0
+        self._headers: dict[str, str] = {}
+        self._body = b""
+        self._events = http.EventSplitter()
+        self._found = 0
+        self._load: i.Load | None = None
+        self._any = False
+
+    def begun(self, status: int, headers: dict[str, str]) -> None:
+        self._status, self._headers = status, headers
+        if REPORT.lower() in headers:
+            self._load = report(headers[REPORT.lower()], self.workers.columns)
+
+    def body(self, data: bytes) -> None:
+        if self._status != 200:
+            self._body = (self._body + data)[:ANSWER_LIMIT]
+            return
+        for event in self._events.feed(data):
+            self._event(event)
+
+    def _event(self, event: bytes) -> None:
+        """Pass an event on unchanged; the report, which is for routers, stays here."""
+        while event.startswith(REPORT_COMMENT):
+            line, _, event = event.partition(b"\n")
+            self._load = report(line[len(REPORT_COMMENT) :], self.workers.columns) or self._load
+            event = event.lstrip(b"\n")
+        if not event:
+            return
+        if b'"usage"' in event:
+            self._found = cached(event) or self._found
+        self._any = True
+        self.workers.told.event(self.request_id, self.attempt, event)
+
+    def whole(self) -> None:
+        if rest := self._events.rest():
+            self._event(rest)
+        status, turned_away = self._status, self._headers.get("x-turned-away") == "1"
+        if status == 200:
+            ending = Ending.SERVED if self._any else Ending.GARBLED
+        elif status == 202:
+            ending = Ending.READ
+            self._found = found(self._body)
+        elif status == 410:
+            ending = Ending.STATE_GONE
+        elif status in (503, 504) and turned_away:
+            ending = Ending.TURNED_AWAY
+        else:
+            ending = Ending.ERROR
+        self._end(ending)
+
+    def broken(self, ending: Ending) -> None:
+        self._end(ending)
+
+    def _end(self, ending: Ending) -> None:
+        if self.workers.forget(self):
+            self.workers.told.ended(self.request_id, self.attempt, ending, self._found, self._load)
+
+
+def found(body: bytes) -> int:
+    try:
+        return int(json.loads(body)["cached_tokens"])
+    except (ValueError, KeyError, TypeError):
+        return 0
+
+
+def cached(event: bytes) -> int:
+    """The kept tokens that a stream's usage event states; 0 where it states none."""
+    try:
+        usage: Any = json.loads(event.partition(b"data:")[2])["usage"]
+        return int(usage["prompt_tokens_details"]["cached_tokens"])
+    except (ValueError, KeyError, TypeError):
+        return 0
+
+
+class HttpWorkers:
+    """The core's `Workers` over HTTP."""
+
+    told: Told
+
+    def __init__(self, pool: WorkerPool, columns: tuple[str, ...], release: Callable[[str], None]) -> None:
+        self.pool, self.columns = pool, columns
+        self.addresses: dict[int, Address] = {}
+        self._release = release
+        self._out: dict[tuple[str, int], AttemptExchange] = {}
+
+    def send(self, request_id: str, attempt: int, server: int, call: object, timeout: float) -> None:
+        assert isinstance(call, Call)
+        exchange = AttemptExchange(self, request_id, attempt)
+        self._out[request_id, attempt] = exchange
+        fields = {
+            "Host": call.headers.get("host", "worker"),
+            "X-Txn": request_id,
+            "X-Remaining": f"{max(1, round(timeout * 1e6))}u",
+            "Content-Type": call.headers.get("content-type", "application/json"),
+            "Content-Length": str(len(call.body)),
+        }
+        for name in ("x-lane", "x-org", "x-entity", "x-labels", "x-resent"):
+            if name in call.headers:
+                fields[name] = call.headers[name]
+        start = f"{call.method.decode('latin-1')} {call.target.decode('latin-1')} HTTP/1.1"
+        try:
+            exchange.connection = self.pool.ask(
+                self.addresses[server], exchange, http.head(start, fields) + call.body
+            )
+        except (OSError, KeyError) as error:
+            self.pool.log("no connection to a worker", f"{server}: {error}")
+            exchange.broken(Ending.NO_SOCKET)
+
+    def abort(self, request_id: str, attempt: int) -> bool:
+        exchange = self._out.pop((request_id, attempt), None)
+        if exchange is None or exchange.connection is None:
+            return False
+        written = exchange.connection.written
+        exchange.connection.close()
+        return written
+
+    def release(self, request_id: str) -> None:
+        self._release(request_id)
+
+    def pause(self, request_id: str, attempt: int, paused: bool) -> None:
+        exchange = self._out.get((request_id, attempt))
+        if exchange is not None and exchange.connection is not None:
+            exchange.connection.channel.pause(paused)
+
+    def forget(self, exchange: AttemptExchange) -> bool:
+        return self._out.pop((exchange.request_id, exchange.attempt), None) is not None
