Keep worker connections alive between exchanges

Checked: a probe of httptools: should_keep_alive() is true inside on_message_complete and false after feed_data has returned, so WorkerConnection.received never kept a connection. Ruled out: stale peeks.

--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -58,7 +58,7 @@
         self.idle_since = 0.0
         self._parser = httptools.HttpResponseParser(self)
         self._headers: dict[str, str] = {}
-        self._complete = False
+        self._complete = self._reusable = False
         self.channel = Channel.connect(pool.loop, address, self)
         pool.loop.after(pool.connect_timeout, self._too_late)
 
@@ -70,7 +70,7 @@
     def ask(self, exchange: Exchange, request: bytes) -> None:
         self.exchange = exchange
         self._parser = httptools.HttpResponseParser(self)
-        self._headers, self._complete = {}, False
+        self._headers, self._complete, self._reusable = {}, False, False
         self.channel.send(request)
 
     def close(self) -> None:
@@ -100,7 +100,7 @@
             return self._broken(Ending.GARBLED)
         if self._complete:
             exchange, self.exchange = self.exchange, None
-            if self._parser.should_keep_alive() and self.written:
+            if self._reusable and self.written:
                 self.pool.keep(self)
             else:
                 self.close()
@@ -136,6 +136,7 @@
 
     def on_message_complete(self) -> None:
         self._complete = True
+        self._reusable = self._parser.should_keep_alive()  # known only here: the parser starts anew after
 
 
 class WorkerPool:
