--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+# Build, test, lint and run; PYTHON names the interpreter of the environment to use.
+PYTHON ?= .venv/bin/python
+
+.PHONY: build test lint run
+
+build: .venv
+
+.venv: requirements-dev.txt
+	python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements-dev.txt
+	touch .venv
+
+test:
+	$(PYTHON) -m pytest
+
+lint:
+	$(PYTHON) -m ruff check hopshed yewhook tests
+	$(PYTHON) -m mypy
+
+run:
+	$(PYTHON) -m yewhook serve
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,291 @@
+"""The core by itself: endings, stages and the rules that hold on any front."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from settings import ENV
+
+from hopshed import interface as i
+from hopshed import wire
+from yewhook.core.ending import OUTCOMES, Ending
+from yewhook.core.router import Router
+from yewhook.deadlines import Deadlines
+from yewhook.log import Log
+
+CORE = Path(__file__).parent.parent / "yewhook" / "core"
+Out = i.Outcome
+ROWS = [
+    (Ending.SERVED, Out.OK), (Ending.READ, Out.READ), (Ending.ERROR, Out.FAILED), (Ending.GARBLED, Out.FAILED),
+    (Ending.TURNED_AWAY, Out.FULL), (Ending.STATE_GONE, Out.FULL), (Ending.CONNECT_REFUSED, Out.UNREACHABLE),
+    (Ending.CONNECT_SILENT, Out.UNREACHABLE), (Ending.NO_SOCKET, Out.UNREACHABLE),
+    (Ending.BROKEN_UNSENT, Out.UNREACHABLE), (Ending.UNSENT_IN_TIME, Out.UNREACHABLE),
+    (Ending.BROKEN, Out.RESET), (Ending.CLOSED, Out.RESET), (Ending.TIMED_OUT, Out.TIMED_OUT),
+    (Ending.CANCELED, Out.CANCELED), (Ending.CLIENT_LEFT, Out.CANCELED), (Ending.MOVED, Out.CANCELED),
+    (Ending.CLIENT_STALLED, Out.CANCELED), (Ending.WORKER_STALLED, Out.TIMED_OUT),
+    (Ending.TOOL_TIMED_OUT, Out.FAILED), (Ending.TOOL_GONE, Out.FAILED), (Ending.TOOL_ERROR, Out.FAILED),
+    (Ending.NOT_SENT, Out.NOT_SENT),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("ending", "outcome"), ROWS)
+def test_each_ending_has_its_outcome(ending: Ending, outcome: i.Outcome) -> None:
+    assert OUTCOMES[ending] is outcome
+
+
+def test_no_ending_is_left_out() -> None:
+    assert {ending for ending, _ in ROWS} == set(Ending) == set(OUTCOMES)
+
+
+def test_endings_become_outcomes_nowhere_else() -> None:
+    package = CORE.parent
+    users = {path.name for path in package.rglob("*.py") if "Outcome" in path.read_text()}
+    assert users == {"ending.py"}
+
+
+def test_the_core_knows_no_wire() -> None:
+    wires = {"socket", "selectors", "ssl", "http", "json", "httptools", "dns", "struct"}
+    for path in CORE.glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            names = []
+            if isinstance(node, ast.Import):
+                names = [alias.name for alias in node.names]
+            elif isinstance(node, ast.ImportFrom):
+                names = [node.module or ""]
+            assert not {name.partition(".")[0] for name in names} & wires, f"{path}: {names}"
+
+
+def test_importing_the_core_brings_in_no_wire_of_ours() -> None:
+    code = "import sys, yewhook.core.router; print(*(m for m in sys.modules if m.startswith('yewhook')))"
+    command = [sys.executable, "-c", code]
+    done = subprocess.run(command, capture_output=True, text=True, check=True, cwd=CORE.parents[1])
+    allowed = ("yewhook.core", "yewhook.deadlines", "yewhook.log")
+    assert all(name == "yewhook" or name.startswith(allowed) for name in done.stdout.split())
+
+
+class Client:
+    def __init__(self) -> None:
+        self.heard: list[str] = []
+
+    def pass_on(self, event: object) -> None:
+        self.heard.append(f"event {event}")
+
+    def finish(self) -> None:
+        self.heard.append("finish")
+
+    def break_off(self, ending: Ending) -> None:
+        self.heard.append(f"break off {ending.name}")
+
+    def refuse(self, retry_after: float) -> None:
+        self.heard.append("refuse")
+
+    def fail(self, ending: Ending | None) -> None:
+        self.heard.append("fail")
+
+
+class Workers:
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, int, int]] = []
+        self.aborted: list[tuple[str, int]] = []
+        self.released: list[str] = []
+
+    def send(self, request_id: str, attempt: int, server: int, call: object, timeout: float) -> None:
+        self.sent.append((request_id, attempt, server))
+
+    def abort(self, request_id: str, attempt: int) -> bool:
+        self.aborted.append((request_id, attempt))
+        return True
+
+    def release(self, request_id: str) -> None:
+        self.released.append(request_id)
+
+    def pause(self, request_id: str, attempt: int, paused: bool) -> None:
+        raise AssertionError("nothing is slow here")
+
+
+class Scripted:
+    """Stands in for the module: does what the test says, and remembers what it was told."""
+
+    def __init__(self) -> None:
+        self.told: list[i.Event] = []
+        self.acts: list[i.Action] = []
+
+    def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
+        self.told += events
+        acts, self.acts = self.acts, []
+        return acts
+
+
+READER, WRITER = 1, 2
+FLEET = (
+    i.Server(READER, 0, 0, 0, i.ServerState.RUNNING),
+    i.Server(WRITER, 1, 0, 0, i.ServerState.RUNNING),
+    i.Server(3, 1, 0, 0, i.ServerState.RUNNING),
+)
+
+
+class Core:
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.deadlines, self.workers, self.client, self.module = Deadlines(), Workers(), Client(), Scripted()
+        log = Log("test")
+        settings = wire.settings(ENV)
+        self.router = Router(settings, 1, self.deadlines, lambda: self.now, self.workers, log)
+        self.router._module = self.module  # type: ignore[assignment]
+        self.router.listed(i.ListKind.FULL, FLEET)
+
+    def take(self, cls: int = 0, request_id: str = "a") -> None:
+        arrived = i.RequestArrived(request_id, cls, 0, "s", 8.0, 100.0)
+        assert self.router.accept(arrived, self.client, "call")
+        self.do()
+
+    def do(self, *acts: i.Action) -> None:
+        self.module.acts = list(acts)
+        if acts:
+            self.router._facts.append(i.TimerFired(0))  # something to decide on
+        while self.router.turn(self.now):
+            pass
+
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+        for call in self.deadlines.due(self.now):
+            call()
+        self.do()
+
+    def outcomes(self) -> list[i.Outcome]:
+        return [e.outcome for e in self.module.told if isinstance(e, i.AttemptEnded)]
+
+
+@pytest.fixture
+def c() -> Core:
+    return Core()
+
+
+def test_one_attempt_at_a_time(c: Core) -> None:
+    c.take()
+    c.do(i.Send("a", WRITER, 1.0), i.Send("a", 3, 1.0))
+    assert c.workers.sent == [("a", 0, WRITER)] and c.outcomes() == [Out.NOT_SENT]
+
+
+@pytest.mark.parametrize("ending", [Ending.BROKEN, Ending.TIMED_OUT, Ending.ERROR, Ending.CANCELED])
+def test_an_unsafe_request_that_may_have_run_is_not_repeated(c: Core, ending: Ending) -> None:
+    c.take(cls=1)
+    c.do(i.Send("a", WRITER, 1.0))
+    c.router.ended("a", 0, ending)
+    c.do(i.Send("a", 3, 1.0))
+    assert len(c.workers.sent) == 1
+    # Refusing would tell the client that a repeat is harmless.
+    c.do(i.Refuse("a"))
+    assert c.client.heard == ["fail"]
+
+
+@pytest.mark.parametrize("ending", [Ending.TURNED_AWAY, Ending.CONNECT_REFUSED, Ending.BROKEN_UNSENT])
+def test_an_unsafe_request_that_never_ran_may_go_on(c: Core, ending: Ending) -> None:
+    c.take(cls=1)
+    c.do(i.Send("a", WRITER, 1.0))
+    c.router.ended("a", 0, ending)
+    c.do(i.Send("a", 3, 1.0))
+    assert len(c.workers.sent) == 2
+
+
+def test_an_attempt_at_a_reader_has_no_effect(c: Core) -> None:
+    c.take(cls=1)
+    c.do(i.Send("a", READER, 1.0))
+    c.router.ended("a", 0, Ending.BROKEN)
+    c.do(i.Refuse("a", 0.2))
+    assert c.client.heard == ["refuse"]
+
+
+def test_exactly_one_final_answer(c: Core) -> None:
+    c.take()
+    c.do(i.Refuse("a"), i.Fail("a"), i.Refuse("a"))
+    c.router.client_left("a")
+    c.wait(20.0)
+    assert c.client.heard == ["refuse"] and not c.router.lives
+
+
+def test_what_the_module_forgets_is_answered_at_the_deadline(c: Core) -> None:
+    c.take()
+    c.wait(8.1)
+    assert c.client.heard == ["refuse"]
+
+
+def test_a_stream_has_no_deadline_and_belongs_to_the_client(c: Core) -> None:
+    c.take()
+    c.do(i.Send("a", WRITER, 1.0))
+    assert c.router.event("a", 0, "x")
+    c.wait(30.0)
+    c.do(i.Send("a", 3, 1.0), i.CancelAttempt("a", 0))
+    assert c.client.heard == ["event x"] and not c.workers.aborted and len(c.workers.sent) == 1
+    c.router.ended("a", 0, Ending.SERVED)
+    c.do()
+    assert c.client.heard == ["event x", "finish"] and c.outcomes() == [Out.NOT_SENT, Out.OK]
+
+
+def test_a_stream_without_an_event_is_no_answer(c: Core) -> None:
+    # The module takes OK as the end of a request; without an event the client has no answer yet.
+    c.take()
+    c.do(i.Send("a", WRITER, 1.0))
+    c.router.ended("a", 0, Ending.SERVED)
+    c.do()
+    assert c.outcomes() == [Out.FAILED] and not c.client.heard
+
+
+def test_a_moved_stream_ends_its_attempt(c: Core) -> None:
+    c.take()
+    c.do(i.Send("a", WRITER, 1.0))
+    c.router.event("a", 0, "x")
+    c.do(i.MoveStream("a"))
+    assert c.client.heard[-1] == "break off MOVED" and c.workers.aborted == [("a", 0)]
+    assert c.outcomes() == [Out.CANCELED] and not c.router.lives
+
+
+def test_a_state_that_nobody_takes_is_let_go_once_within_the_limit(c: Core) -> None:
+    c.take()
+    c.do(i.Send("a", READER, 1.0))
+    c.router.ended("a", 0, Ending.READ)
+    c.do()
+    c.wait(0.9)
+    c.do(i.Refuse("a"))
+    assert c.workers.released == ["a"]
+
+
+def test_a_cancelled_read_may_have_left_a_state(c: Core) -> None:
+    # The read may have ended at the very moment its connection closed.
+    c.take()
+    c.do(i.Send("a", READER, 1.0))
+    c.router.client_left("a")
+    c.do()
+    assert c.workers.aborted == [("a", 0)] and c.workers.released == ["a"]
+
+
+def test_a_time_out_is_told_and_its_answer_still_given(c: Core) -> None:
+    c.take()
+    c.do(i.Send("a", WRITER, 0.0))
+    c.wait(8.0)
+    c.do(i.Fail("a"))
+    assert c.outcomes() == [Out.TIMED_OUT] and c.client.heard == ["fail"]
+
+
+def test_nothing_is_sent_to_a_server_told_to_drain_for_longer_than_the_grace(c: Core) -> None:
+    c.router.listed(i.ListKind.CHANGES, (FLEET[1]._replace(state=i.ServerState.DRAINING),))
+    c.take()
+    c.wait(1.1)
+    c.do(i.Send("a", WRITER, 1.0), i.Send("a", 99, 1.0))
+    assert not c.workers.sent and c.outcomes() == [Out.NOT_SENT] * 2
+
+
+def test_deadlines_come_due_in_order_and_can_be_cancelled() -> None:
+    deadlines, heard = Deadlines(), list[str]()
+    deadlines.set(2.0, lambda: heard.append("b"))
+    first = deadlines.set(1.0, lambda: heard.append("a"))
+    gone = deadlines.set(1.5, lambda: heard.append("gone"))
+    deadlines.cancel(gone)
+    assert deadlines.next() == first.at
+    for call in deadlines.due(2.0):
+        call()
+    assert heard == ["a", "b"] and deadlines.next() is None
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,337 @@
+"""The platform's front, played against stand-ins for clients, workers and discovery."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterator
+
+import pytest
+from scenario import Party, Play
+from settings import ENV
+
+from yewhook.config import Config, Limits, translate
+from yewhook.platform.front import PlatformFront
+from yewhook.service import Room
+
+FLEET = {"reader": "prefill", "writer": "decode"}
+BODY = '{"stream":true}'
+
+
+def ask(
+    id: str = "r1", lane: str = "fault-lookup", left: str = "8000m", body: str = BODY, **more: str
+) -> bytes:
+    fields = {
+        "Host": "app.svc", "X-Txn": id, "X-Lane": lane, "X-Org": "acme", "X-Entity": f"session-{id}",
+        "X-Remaining": left, "X-Labels": "prompt_len=1200,max_out=100", "Content-Length": str(len(body)),
+    } | {name.replace("_", "-"): value for name, value in more.items()}  # fmt: skip
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    return f"POST /v1/chat/completions HTTP/1.1\r\n{head}\r\n{body}".encode()
+
+
+def answer(status: str, body: str = "", turned: str = "", **more: str) -> bytes:
+    fields = {"Content-Length": str(len(body))} | ({"X-Turned-Away": "1"} if turned else {}) | more
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    return f"HTTP/1.1 {status} Any\r\n{head}\r\n{body}".encode()
+
+
+def chunk(data: str) -> bytes:
+    return f"{len(data):x}\r\n{data}\r\n".encode()
+
+
+SAYINGS: dict[str, Callable[..., bytes]] = {
+    "ask": ask,
+    "get": lambda path: f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode(),
+    "raw": lambda text: text.replace("_", " ").replace("|", "\r\n").encode() + b"\r\n\r\n",
+    "huge": lambda: ask(body="x" * (256 * 1024 + 1)),
+    "read": lambda kept="0": answer("202", f'{{"cached_tokens":{kept}}}'),
+    "status": answer,
+    "stream": lambda: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "event": lambda text: chunk(f'data: "{text}"\n\n'),
+    "part": lambda text: chunk(text),
+    "rest": lambda text: chunk(f"{text}\n\n"),
+    "report": lambda share: chunk(f': X-Pressure: {{"latency_ms":9,"x0":{share},"x1":1}}\n\n'),
+    "last": lambda: b"0\r\n\r\n",
+    "watch": lambda: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "empty": lambda: chunk("\n"),
+}
+BEGIN = """
+    client send ask {}
+    reader expect POST /v1/chat/completions HTTP/1.1
+    reader expect {{"stream":true}}
+    reader send read
+    writer expect {{"stream":true}}
+"""
+
+
+class Platform(Play):
+    def __init__(self, fleet: dict[str, str]) -> None:
+        super().__init__(SAYINGS | {"list": self.listed})
+        settings, names = translate(ENV)
+        self.fleet = fleet
+        self.parties = {name: Party() for name in [*fleet, "discovery"]}
+        config = Config(
+            "test", ("127.0.0.1", 0), self.parties["discovery"].address, 7, settings, names,
+            Limits(1024, 192), 0.25, 30.0,
+            {"generation": 1, "reset": True, "instances": [self.entry(name) for name in fleet]},
+        )  # fmt: skip
+        self.front = PlatformFront(self.service.loop, config, Room(self.service.loop, config.limits))
+        self.service.fronts.append(self.front)
+        self.parties["client"] = Party(("127.0.0.1", self.front.port))
+
+    def entry(self, name: str, state: str = "up") -> dict[str, object]:
+        place = self.parties[name].place
+        return {
+            "instanceId": f"s-{name}", "hostPort": place, "zone": "hall-a", "cell": 1,
+            "machineType": self.fleet[name], "lifecycle": state, "weight": 1.0, "startedAtMs": 0,
+        }  # fmt: skip
+
+    def listed(self, name: str, state: str = "up", generation: str = "2") -> bytes:
+        entry = {"generation": int(generation), "reset": False, "instances": [self.entry(name, state)]}
+        return chunk(json.dumps(entry) + "\n")
+
+
+@pytest.fixture
+def p() -> Iterator[Platform]:
+    platform = Platform(FLEET)
+    yield platform
+    platform.end()
+
+
+@pytest.fixture
+def wide() -> Iterator[Platform]:
+    platform = Platform(FLEET | {"reader2": "prefill", "writer2": "decode"})
+    yield platform
+    platform.end()
+
+
+def begin(words: str = "") -> str:
+    return BEGIN.format(words)
+
+
+def test_a_request_is_read_then_written_and_its_events_pass_as_they_come(p: Platform) -> None:
+    p.play(begin())
+    # An event split over reads must come out whole, and each at once: not held until the stream's end.
+    p.play("""
+        writer send stream
+        writer send event text=one
+        client expect data: "one"
+        writer send part text=data:
+        writer send rest text="two"
+        client expect data:"two"
+        writer send report share=0.5
+        writer send last
+        client expect 0
+        wait 0.05
+    """)
+    # The load report is for routers: a client must not see it, and the module must.
+    assert "Pressure" not in p.parties["client"].text
+    loads = [w.load for w in p.front.router._module.workers.values()]
+    assert 0.5 in [load.memory_share for load in loads if load is not None]
+    assert not p.front.router.lives
+
+
+def test_worker_connections_are_kept(p: Platform) -> None:
+    # The parser forgets keep-alive once it has returned: each exchange opened a connection of its own.
+    end = "writer send stream\nwriter send event text=a\nwriter send last\nwait 0.05"
+    p.play(begin("id=r1") + end).play(begin("id=r2") + end)
+    assert [p.parties[name].connections for name in ("reader", "writer", "client")] == [1, 1, 1]
+
+
+def test_idle_worker_connections_are_retired_before_the_workers_limit(p: Platform) -> None:
+    p.play(begin("id=r1") + "reader send read\nwait 17").play("reader expect closed")
+
+
+def test_a_stream_that_breaks_ends_without_the_last_chunk(p: Platform) -> None:
+    p.play(begin() + """
+        writer send stream
+        writer send event text=one
+        client expect "one"
+        writer reset
+        client expect closed
+    """)
+    assert "0\r\n\r\n" not in p.parties["client"].text
+
+
+@pytest.mark.parametrize("how", ["reset", "close"])
+def test_an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again(wide: Platform, how: str) -> None:
+    wide.play("client send ask lane=service-log")
+    readers = [wide.parties[n] for n in ("reader", "reader2")]
+    wide.until(lambda: any("stream" in r.text for r in readers), "a read")
+    reader = "reader" if "stream" in readers[0].text else "reader2"
+    wide.play(f"{reader} send read")
+    writers = [wide.parties[n] for n in ("writer", "writer2")]
+    wide.until(lambda: any("stream" in w.text for w in writers), "a write")
+    writer = "writer" if "stream" in writers[0].text else "writer2"
+    wide.play(f"{writer} {how}\nclient expect HTTP/1.1 502\nwait 0.5")
+    assert sum(w.heard.count("POST /v1/chat") for w in writers) == 1
+
+
+def test_a_turned_away_request_goes_to_another_writer(wide: Platform) -> None:
+    # 503 is proof that it never ran only with X-Turned-Away; then even an unsafe one may go on.
+    wide.play("client send ask lane=service-log")
+    readers = [n for n in ("reader", "reader2")]
+    wide.until(lambda: any("stream" in wide.parties[n].text for n in readers), "a read")
+    wide.play(f"{next(n for n in readers if 'stream' in wide.parties[n].text)} send read")
+    names = ["writer", "writer2"]
+    wide.until(lambda: any("stream" in wide.parties[n].text for n in names), "a write")
+    first = next(n for n in names if "stream" in wide.parties[n].text)
+    names.remove(first)
+    wide.play(f"{first} send status status=503 turned=1\n{names[0]} expect stream")
+
+
+def test_a_503_without_turned_away_may_have_run(p: Platform) -> None:
+    p.play(begin("lane=service-log") + "writer send status status=503\nclient expect HTTP/1.1 502")
+
+
+def test_no_state_to_fetch_lets_go_of_it(p: Platform) -> None:
+    p.play(begin() + "writer send status status=410 turned=1")
+    p.play("writer expect DELETE /internal/reservations/r1 HTTP/1.1")
+
+
+def test_a_reader_that_cannot_be_reached_never_ran_the_request(p: Platform) -> None:
+    p.play("reader close listening\nclient send ask lane=service-log")
+    p.play("client expect HTTP/1.1 503\nclient expect Retry-After: 0.")
+
+
+def test_the_deadline_runs_from_the_clients_send_and_its_time_out_is_answered(p: Platform) -> None:
+    p.play(begin("lane=service-log left=900m") + "wait 0.7")
+    assert p.parties["client"].text == ""
+    p.play("wait 0.25\nclient expect HTTP/1.1 504\nwriter expect closed")
+
+
+def test_a_given_up_request_is_answered_at_once(p: Platform) -> None:
+    # Holding the answer back until the deadline would keep the client from coming again in time.
+    began = p.clock.now
+    p.play(begin() + "writer send status status=500\nclient expect HTTP/1.1 503\nclient expect Retry-After")
+    assert p.clock.now - began < 1.0
+
+
+def test_a_client_that_leaves_during_the_read_cancels_it_and_frees_the_state(p: Platform) -> None:
+    p.play("""
+        client send ask
+        reader expect "stream"
+        client close
+        reader expect closed
+        writer expect DELETE /internal/reservations/r1
+        writer send status status=204
+    """)
+    p.until(lambda: not p.front.busy, "all let go")
+
+
+def test_a_client_that_leaves_during_the_stream_ends_the_attempt(p: Platform) -> None:
+    p.play(begin() + "writer send stream\nwriter send event text=a\nclient expect a")
+    p.play("client close\nwriter expect closed")
+    assert not p.front.router.lives
+
+
+def test_a_release_goes_to_the_next_worker_when_one_is_silent(p: Platform) -> None:
+    # What is held must be let go within a second, also where the worker asked first has fallen silent.
+    p.play("client send ask\nreader expect stream\nclient close\nwriter expect DELETE")
+    p.play("wait 0.2\nreader expect DELETE")
+
+
+def test_a_slow_client_pauses_its_worker_and_at_last_counts_as_gone(p: Platform) -> None:
+    p.play(begin() + "writer send stream")
+    event = SAYINGS["event"](text="x" * 60000)
+    writer, client = p.parties["writer"], p.parties["client"]
+    client.poll = lambda: None  # type: ignore[method-assign]
+    assert writer.sock is not None
+    for _ in range(400):
+        try:
+            writer.sock.send(event)
+        except BlockingIOError:
+            break
+        p.turn()
+    connection = next(iter(p.front.clients.connections))
+    assert connection.channel.unsent < 1_000_000 and connection._slow
+    p.play("wait 11\nwriter expect closed")
+    assert any("client stalled" in line for line in p.log.lines)
+
+
+@pytest.mark.parametrize(
+    ("saying", "status"),
+    [
+        ("raw text=nonsense", 400),
+        ("huge", 413),
+        ("ask lane=unknown", 400),
+        ("ask left=soon", 400),
+        ("ask left=.m", 400),
+        ("ask id=a/b", 400),
+        ("ask X_Labels=prompt_len=many", 400),
+        (f"raw text=GET_/_HTTP/1.1|X:{'y' * 40000}", 431),
+        ("raw text=POST_/_HTTP/1.1|Content-Length:_-4", 400),
+        ("get path=/nowhere", 404),
+        ("get path=/v1/chat/completions", 405),
+    ],
+)
+def test_malformed_and_oversized_input_gets_a_4xx(p: Platform, saying: str, status: int) -> None:
+    p.play(f"client send {saying}\nclient expect HTTP/1.1 {status}")
+    p.play("client2 send get path=/healthz\nclient2 expect 200 OK")
+
+
+def test_sigterm_fails_health_keeps_accepting_then_finishes_what_was_taken(p: Platform) -> None:
+    p.play(begin())
+    p.service.drain()
+    p.play("""
+        probe send get path=/healthz
+        probe expect HTTP/1.1 503
+        wait 0.3
+        late send get path=/healthz
+        late expect HTTP/1.1 503
+        wait 0.4
+        writer send stream
+        writer send event text=still
+        writer send last
+        client expect still
+        client expect closed
+    """)
+    p.until(lambda: p.service.loop.stopped, "the end")
+
+
+def test_streams_that_outlast_the_grace_are_broken_off(p: Platform) -> None:
+    p.play(begin() + "writer send stream\nwriter send event text=a\nclient expect a")
+    p.service.drain()
+    p.play("wait 13\nclient expect closed")
+    assert p.service.loop.stopped and "0\r\n\r\n" not in p.parties["client"].text
+
+
+def test_a_draining_worker_gets_nothing_new_and_the_watch_comes_again(p: Platform) -> None:
+    p.play("discovery expect GET /v1/servers?watch=1&after=1\ndiscovery send watch")
+    p.play("discovery send list name=reader state=draining\nwait 0.1")
+    p.play("client send ask\nclient expect HTTP/1.1 503")
+    # A silent watch is as good as a broken one: it must be opened again, from the last version heard.
+    p.play("wait 5\ndiscovery expect GET /v1/servers?watch=1&after=2")
+    p.play("discovery reset\nwait 0.3\ndiscovery expect after=2")
+
+
+def test_a_worker_that_moves_is_found_at_its_new_address(p: Platform) -> None:
+    p.play(begin("id=r1") + "writer send status status=500\nclient expect 503")
+    p.parties["moved"] = Party()
+    p.fleet["moved"] = "prefill"
+    entry = p.entry("moved") | {"instanceId": "s-reader"}
+    p.play("discovery expect GET\ndiscovery send watch")
+    message = json.dumps({"generation": 5, "reset": False, "instances": [entry]}) + "\n"
+    p.parties["discovery"].send(chunk(message))
+    p.play("reader expect closed\nclient send ask id=r2\nmoved expect POST")
+
+
+def test_a_failing_turn_is_logged_and_its_requests_are_answered(
+    p: Platform, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    module = p.front.router._module
+
+    def fail(now: float, events: object) -> None:
+        raise RuntimeError("broken")
+
+    monkeypatch.setattr(module, "handle", fail)
+    p.play("client send ask id=r1\nclient expect HTTP/1.1 503")
+    assert any("turn failed" in line and "broken" in line for line in p.log.lines)
+    p.play("client send ask id=r2\nreader expect POST")  # a fresh module goes on
+
+
+def test_the_limit_on_sockets_holds(p: Platform) -> None:
+    p.service.loop.sockets += 1024 - 64
+    p.play("client send get path=/healthz\nwait 0.3")
+    assert p.parties["client"].text == ""
+    p.service.loop.sockets -= 1024 - 64
+    p.play("wait 0.2\nclient expect 200 OK")
--- /dev/null
+++ b/tests/test_toolcalls.py
@@ -0,0 +1,299 @@
+"""The tool-calls front, played against stand-ins for clients, workers and tool servers."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from scenario import Party, Play
+from settings import ENV
+
+from yewhook.config import Limits
+from yewhook.dnssd import ServiceInstance, master_file
+from yewhook.service import Room
+from yewhook.toolcalls.config import read
+from yewhook.toolcalls.front import ToolCallsFront
+
+DOMAIN = "fleet.test."
+LIMITS = Limits(1024, 192)
+
+
+def line(**message: Any) -> bytes:
+    return json.dumps({"jsonrpc": "2.0"} | message, separators=(",", ":")).encode() + b"\n"
+
+
+def ask(id: str = "1", lane: str = "service-log", left: str = "9000", **more: str) -> bytes:
+    params = {"class": lane, "tenant": "acme", "session": "s1", "patienceMs": int(left), "promptTokens": 900}
+    return line(id=int(id), method="chat/completions", params=params | more)
+
+
+def call(id: str = "7", tool: str = "repair-history", **more: str) -> bytes:
+    arguments = {"lift": "B2"}
+    return line(id=int(id), method="tools/call", params={"name": tool, "arguments": arguments} | more)
+
+
+def error(id: str, code: str) -> bytes:
+    return line(id=int(id), error={"code": int(code), "message": "no"})
+
+
+SAYINGS: dict[str, Callable[..., bytes]] = {
+    "ask": ask,
+    "call": call,
+    "error": error,
+    "read": lambda id="1": line(id=int(id), result={"read": True, "cachedTokens": 0}),
+    "event": lambda text: line(method="notifications/event", params={"event": text}),
+    "served": lambda id="1": line(id=int(id), result={"load": {"x0": 0.5}}),
+    "found": lambda id="1", text="replaced": line(id=int(id), result={"content": [{"text": text}]}),
+    "cancel": lambda id: line(method="notifications/cancelled", params={"requestId": int(id)}),
+    "method": lambda name, id="5": line(id=int(id), method=name),
+    "raw": lambda text: text.encode() + b"\n",
+    "ok": lambda id="1": line(id=int(id), result={}),
+}
+
+
+class ToolCalls(Play):
+    def __init__(self, folder: Path) -> None:
+        super().__init__(SAYINGS)
+        self.parties = {name: Party() for name in ("reader", "writer", "tool")}
+        (folder / "settings.json").write_text(json.dumps(ENV))
+        self.records = folder / "fleet.zone"
+        self.publish("reader", "writer", "tool")
+        (folder / "toolcalls.toml").write_text(
+            f'listen = "127.0.0.1:0"\nrecords = "fleet.zone"\ndomain = "{DOMAIN}"\n'
+            'worker_service = "_worker._tcp"\ntool_service = "_tool._tcp"\nsettings = "settings.json"\n'
+            "tool_deadline_s = 2\nworker_silence_s = 5\n"
+        )
+        config = read(folder / "toolcalls.toml")
+        self.front = ToolCallsFront(self.service.loop, config, Room(self.service.loop, LIMITS), 7)
+        self.service.fronts.append(self.front)
+        self.parties["client"] = Party(("127.0.0.1", self.front.port))
+
+    def publish(self, *names: str) -> None:
+        kinds = {"reader": "prefill", "writer": "decode"}
+        texts = {name: {"id": name, "kind": kinds[name], "zone": "hall-a", "cell": "1"} for name in kinds}
+        workers = [ServiceInstance(n, self.parties[n].address, texts=texts[n]) for n in names if n in texts]
+        tools = [
+            ServiceInstance(n, self.parties[n].address, order, texts={"tools": "repair-history,stock"})
+            for order, n in enumerate(names)
+            if n.startswith("tool")
+        ]
+        text = master_file(DOMAIN, "_worker._tcp", workers) + master_file(DOMAIN, "_tool._tcp", tools)
+        self.records.write_text(text)
+
+
+@pytest.fixture
+def t(tmp_path: Path) -> Iterator[ToolCalls]:
+    play = ToolCalls(tmp_path)
+    yield play
+    play.end()
+
+
+
+
+def ran_once(t: ToolCalls) -> bool:
+    """One attempt at the writer, and no more than one final answer for the client's request."""
+    return t.parties["writer"].heard.count("chat/completions") == 1 and not t.front.router.lives
+
+
+BEGIN = """
+    client send ask
+    reader expect "method":"chat/completions"
+    reader send read
+    writer expect "method":"chat/completions"
+    writer send event text=before
+    client expect "event":"before"
+"""
+CALLED = BEGIN + """
+    writer send call
+    client expect "method":"notifications/tool_call"
+    tool expect "method":"tools/call","params":{"name":"repair-history","arguments":{"lift":"B2"}}
+"""
+
+
+def test_a_tool_call_is_relayed_in_the_running_stream_and_seen_in_order(t: ToolCalls) -> None:
+    t.play(CALLED + """
+        tool send found
+        client expect "method":"notifications/tool_result"
+        writer expect {"jsonrpc":"2.0","id":7,"result":{"content":[{"text":"replaced"}]}}
+        writer send event text=after
+        writer send served
+        client expect "event":"after"
+        client expect {"jsonrpc":"2.0","id":1,"result":{"status":"served"}}
+    """)
+    assert not t.front.router.lives
+    # A second request uses the same connections: each exchange leaves them clean.
+    t.play("client send ask id=2\nreader expect chat\nreader send read id=2\nwriter expect chat")
+    t.play("writer send event text=x\nwriter send served id=2\nclient expect \"id\":2,\"result\"")
+    assert [t.parties[n].connections for n in ("reader", "writer", "tool")] == [1, 1, 1]
+
+
+@pytest.mark.parametrize(
+    ("trouble", "code"),
+    [
+        ("wait 2.1", -32003),  # the tool hangs
+        ("tool send error id=1 code=-32603", -32005),
+        ("tool reset", -32004),
+        ("tool close", -32004),
+    ],
+)
+def test_a_tool_that_fails_is_told_and_the_stream_can_go_on(t: ToolCalls, trouble: str, code: int) -> None:
+    t.play(CALLED + f"""
+        {trouble}
+        writer expect "id":7,"error":{{"code":{code}
+        client expect "method":"notifications/tool_result"
+        writer send event text=sorry
+        writer send served
+        client expect "event":"sorry"
+        client expect "id":1,"result"
+    """)
+    assert t.parties["writer"].connections == t.parties["tool"].connections == 1
+
+
+@pytest.mark.parametrize("code", [-32003, -32004, -32005])
+def test_a_worker_that_gives_up_over_a_tool_ends_in_one_answer_with_its_code(t: ToolCalls, code: int) -> None:
+    t.play(CALLED + f"tool reset\nwriter expect error\nwriter send error id=1 code={code}")
+    t.play(f'client expect "id":1,"error":{{"code":{code}\nwait 1')
+    # The session logs service work: it must not run again, though its stream failed.
+    assert ran_once(t)
+    assert '"id":1' not in t.parties["client"].text
+
+
+def test_an_unknown_tool_is_told_at_once(t: ToolCalls) -> None:
+    t.play(BEGIN + 'writer send call tool=magic\nwriter expect "id":7,"error":{"code":-32004')
+    assert t.parties["tool"].connections == 0
+
+
+def test_a_tool_server_that_cannot_be_reached_is_passed_over(t: ToolCalls) -> None:
+    t.parties["tool2"] = Party()
+    t.publish("reader", "writer", "tool", "tool2")
+    t.play("tool close listening\nwait 0.6\n" + BEGIN + "writer send call\ntool2 expect tools/call")
+    t.play("tool2 send found\nwriter expect replaced")
+
+
+def test_a_tool_call_that_may_have_run_is_not_made_again(t: ToolCalls) -> None:
+    t.parties["tool2"] = Party()
+    t.publish("reader", "writer", "tool", "tool2")
+    t.play("wait 0.6\n" + CALLED + 'tool reset\nwriter expect "code":-32004')
+    assert t.parties["tool2"].connections == 0
+
+
+def test_a_late_reply_and_a_duplicate_are_ignored(t: ToolCalls) -> None:
+    t.play(CALLED + """
+        wait 2.1
+        tool expect "method":"notifications/cancelled"
+        tool send found text=late
+        writer expect "code":-32003
+        writer send call id=8
+        tool expect tools/call
+        tool send found text=once
+        tool send found text=twice
+        writer expect once
+        writer send event text=end
+        writer send served
+        client expect "event":"end"
+        client expect "id":1,"result"
+        wait 0.1
+    """)
+    told = t.parties["writer"].text + t.parties["client"].text
+    assert "late" not in told and "twice" not in told
+
+
+def test_a_client_that_leaves_during_a_call_cancels_it_at_worker_and_tool(t: ToolCalls) -> None:
+    t.play(CALLED + """
+        client close
+        tool expect "method":"notifications/cancelled","params":{"requestId":1
+        tool expect closed
+        writer expect "method":"notifications/cancelled","params":{"requestId":1
+        writer expect closed
+        wait 1
+    """)
+    assert not t.front.router.lives and t.parties["writer"].connections == 1
+
+
+def test_a_cancelled_request_gets_no_answer_and_the_connection_stays(t: ToolCalls) -> None:
+    t.play(CALLED + 'client send cancel id=1\nwriter expect cancelled\ntool expect cancelled\nwait 0.1')
+    assert '"id":1' not in t.parties["client"].text
+    t.play('client send method name=ping\nclient expect "id":5,"result":{}')
+
+
+def test_a_worker_that_withdraws_its_call_cancels_it_at_the_tool(t: ToolCalls) -> None:
+    t.play(CALLED + "writer send cancel id=7\ntool expect cancelled\nclient expect tool_result")
+    t.play("writer send event text=x\nwriter send served\nclient expect \"id\":1,\"result\"")
+
+
+@pytest.mark.parametrize("how", ["reset", "close"])
+def test_a_worker_lost_during_a_call_ends_the_stream_once(t: ToolCalls, how: str) -> None:
+    t.play(CALLED + f'writer {how}\nclient expect "id":1,"error":{{"code":-32006')
+    t.play("tool expect cancelled\nwait 1")
+    assert ran_once(t) and '"id":1' not in t.parties["client"].text
+
+
+def test_a_worker_silent_in_its_stream_is_given_up(t: ToolCalls) -> None:
+    t.play(BEGIN + 'wait 5.2\nclient expect "id":1,"error":{"code":-32006\nwriter expect cancelled')
+
+
+def test_a_refused_request_is_told_when_to_come_again(t: ToolCalls) -> None:
+    t.play("reader close listening\nclient send ask")
+    t.play('client expect "id":1,"error":{"code":-32001\nclient expect "retry_after":0.')
+
+
+def test_an_unsafe_request_whose_writer_failed_before_its_stream_is_failed(t: ToolCalls) -> None:
+    t.play("client send ask\nreader expect chat\nreader send read\nwriter expect chat\nwriter reset")
+    t.play('client expect "id":1,"error":{"code":-32002\nwait 1')
+    assert ran_once(t)
+
+
+def test_the_deadline_before_the_stream_holds_here_too(t: ToolCalls) -> None:
+    t.play("client send ask left=800\nreader expect chat\nreader send read\nwriter expect chat\nwait 0.8")
+    t.play('client expect "id":1,"error"\nwriter expect cancelled')
+
+
+def test_a_client_that_leaves_during_the_read_lets_go_of_the_state(t: ToolCalls) -> None:
+    t.play("client send ask\nreader expect chat\nclient close\nreader expect cancelled")
+    t.play('writer expect "method":"reservations/release"\nwriter send ok')
+    t.until(lambda: not t.front.busy, "all let go")
+
+
+def test_a_reader_has_no_stream_to_call_tools_in(t: ToolCalls) -> None:
+    t.play("client send ask\nreader expect chat\nreader send call")
+    t.play('reader expect "id":7,"error":{"code":-32600')
+    assert t.parties["tool"].connections == 0
+
+
+@pytest.mark.parametrize(
+    ("saying", "code"),
+    [
+        ("raw text={", -32700),
+        ("raw text=[]", -32600),
+        ('raw text={"jsonrpc":"2.0","method":3,"id":1}', -32600),
+        ("method name=nothing", -32601),
+        ("ask lane=unknown", -32602),
+        ("ask session=", -32602),
+        ('raw text={"jsonrpc":"2.0","method":"ping","params":[],"id":1}', -32602),
+        ("raw text=" + "x" * 600_000, -32600),
+    ],
+)
+def test_malformed_messages_get_the_standards_errors(t: ToolCalls, saying: str, code: int) -> None:
+    t.play(f'client send {saying}\nclient expect "error":{{"code":{code}')
+    t.play("client2 send method name=ping\nclient2 expect result")
+
+
+def test_an_id_in_use_does_not_end_the_request_that_has_it(t: ToolCalls) -> None:
+    t.play(BEGIN + 'client send ask\nclient expect "id":null,"error":{"code":-32600')
+    t.play("writer send event text=x\nwriter send served\nclient expect \"id\":1,\"result\"")
+
+
+def test_draining_finishes_what_is_open(t: ToolCalls) -> None:
+    t.play(CALLED)
+    t.service.drain()
+    t.play("wait 0.6\ntool send found\nwriter expect replaced\nwriter send event text=x\nwriter send served")
+    t.play('client expect "id":1,"result"\nclient expect closed')
+    t.until(lambda: t.service.loop.stopped, "the end")
+
+
+def test_a_worker_taken_from_the_records_gets_nothing_new(t: ToolCalls) -> None:
+    t.publish("writer", "tool")
+    t.play('wait 0.6\nclient send ask\nclient expect "code":-32001')
--- a/yewhook/channel.py
+++ b/yewhook/channel.py
@@ -31,7 +31,7 @@
         self.closed = False
         self._sock, self._connecting = sock, connecting
         self._out = bytearray()
-        self._paused = self._finishing = False
+        self._paused = self._finishing = self._unwritable = False
         loop.sockets += 1
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -96,7 +96,8 @@
         if self.closed:
             return
         read = 0 if self._paused or self._connecting else selectors.EVENT_READ
-        write = selectors.EVENT_WRITE if self._out or self._connecting else 0
+        waits = self._connecting or (self._out and not self._unwritable)
+        write = selectors.EVENT_WRITE if waits else 0
         self.loop.watch(self._sock, read | write, self._ready)
 
     def _ready(self, mask: int) -> None:
@@ -131,7 +132,7 @@
         return not self.closed
 
     def _flush(self) -> None:
-        if not self._out:
+        if not self._out or self._unwritable:
             return
         try:
             sent = self._sock.send(self._out)
@@ -139,8 +140,7 @@
             sent = 0
         except OSError:
             # What the peer sent before the break still counts: reading it finds the end, too.
-            self._out.clear()
-            self._paused = False
+            self._unwritable, self._paused = True, False
             return self._watch()
         del self._out[:sent]
         self._watch()
--- a/yewhook/core/ending.py
+++ b/yewhook/core/ending.py
@@ -26,7 +26,10 @@
     CLIENT_LEFT = auto()  # withdrawn because the client went away
     MOVED = auto()  # a running stream ended so that its client goes on elsewhere
     CLIENT_STALLED = auto()  # a running stream ended because its client does not read
-    TOOL_FAILED = auto()  # a running stream ended because a tool call in it could not be finished
+    WORKER_STALLED = auto()  # a running stream stood still for too long
+    TOOL_TIMED_OUT = auto()  # the worker gave up because a tool did not answer in time
+    TOOL_GONE = auto()  # the worker gave up because there is no server for a tool, or it went away
+    TOOL_ERROR = auto()  # the worker gave up because a tool answered with an error
     NOT_SENT = auto()  # withheld by the core: a rule forbids it, or the request is over
 
 
@@ -49,7 +52,10 @@
     Ending.CLIENT_LEFT: Outcome.CANCELED,
     Ending.MOVED: Outcome.CANCELED,
     Ending.CLIENT_STALLED: Outcome.CANCELED,
-    Ending.TOOL_FAILED: Outcome.FAILED,
+    Ending.WORKER_STALLED: Outcome.TIMED_OUT,
+    Ending.TOOL_TIMED_OUT: Outcome.FAILED,
+    Ending.TOOL_GONE: Outcome.FAILED,
+    Ending.TOOL_ERROR: Outcome.FAILED,
     Ending.NOT_SENT: Outcome.NOT_SENT,
 }
 
--- a/yewhook/core/life.py
+++ b/yewhook/core/life.py
@@ -51,5 +51,4 @@
     @property
     def out(self) -> Attempt | None:
         """The attempt that is out; there is never a second one."""
-        last = self.attempts[-1] if self.attempts else None
-        return last if last is not None and last.live else None
+        return next((attempt for attempt in self.attempts if attempt.live), None)
--- a/yewhook/core/ports.py
+++ b/yewhook/core/ports.py
@@ -4,13 +4,15 @@
 
 from typing import Protocol
 
+from hopshed.interface import Load
+
 from .ending import Ending
 
 
 class Client(Protocol):
     """The client's end of one request. Exactly one of finish, break_off, refuse and fail is called, once."""
 
-    def pass_on(self, event: bytes) -> None:
+    def pass_on(self, event: object) -> None:
         """Pass on one event of the running stream; the first one opens the answer."""
 
     def finish(self) -> None:
@@ -40,3 +42,13 @@
 
     def pause(self, request_id: str, attempt: int, paused: bool) -> None:
         """Stop or go on reading a stream whose client is slow."""
+
+
+class Told(Protocol):
+    """Where the workers' side tells what comes of an attempt: the core's router."""
+
+    def event(self, request_id: str, number: int, data: object) -> bool: ...
+
+    def ended(
+        self, request_id: str, number: int, ending: Ending, note: int = 0, load: Load | None = None
+    ) -> None: ...
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -103,17 +103,21 @@
                 self._told_off.setdefault(server.id, self._clock())
         self._facts.append(i.ServersListed(kind, servers))
 
-    def event(self, request_id: str, number: int, data: bytes) -> None:
-        """One event of an attempt's stream; with the first, the attempt belongs to the client."""
+    def event(self, request_id: str, number: int, data: object) -> bool:
+        """One event of an attempt's stream; with the first, the attempt belongs to the client.
+
+        False where the client has no part in it: the request is over, or a reader has nothing to say to it.
+        """
         life, attempt = self._out(request_id, number)
-        if life is None or attempt is None or life.stage is Stage.ENDED:
-            return
+        if life is None or attempt is None or attempt.reads or life.stage is Stage.ENDED:
+            return False
         if life.stage is not Stage.STREAMING:
             life.stage, life.may_hold = Stage.STREAMING, False
             self._stop_timers(life, attempt)
             latency = self._clock() - attempt.sent
             self._facts.append(i.StreamStarted(request_id, number, attempt.server, latency))
         life.client.pass_on(data)
+        return True
 
     def ended(
         self, request_id: str, number: int, ending: Ending, note: int = 0, load: i.Load | None = None
@@ -122,6 +126,8 @@
         life, attempt = self._out(request_id, number)
         if life is None or attempt is None:
             return
+        if ending is Ending.SERVED and life.stage is not Stage.STREAMING:
+            ending = Ending.GARBLED  # a stream without a single event is no answer
         attempt.live, attempt.ending = False, ending
         self._deadlines.cancel(attempt.timer)
         outcome = OUTCOMES[ending]
--- a/yewhook/loop.py
+++ b/yewhook/loop.py
@@ -23,12 +23,12 @@
 
 
 class Loop:
-    def __init__(self, log: Log) -> None:
-        self.log = log
+    def __init__(self, log: Log, clock: Callable[[], float] = time.monotonic) -> None:
+        self.log, self._clock = log, clock
         self.deadlines = Deadlines()
         self.deciders: list[Turn] = []
         self.stopped = False
-        self.now = time.monotonic()
+        self.now = clock()
         self.sockets = 0  # open ones that this process holds, as their owners count them
         self._selector = selectors.DefaultSelector()
 
@@ -52,12 +52,12 @@
         self._selector.close()
 
     def run_turn(self, longest: float | None = None) -> bool:
-        due = self.deadlines.next()
-        wait = longest if due is None else max(0.0, due - time.monotonic())
-        if longest is not None:
-            wait = min(longest, wait or 0.0)
-        ready = self._selector.select(wait)
-        self.now = time.monotonic()
+        """One turn, waiting for it no longer than this; whether there is something to decide on at once."""
+        waits = [] if longest is None else [longest]
+        if (due := self.deadlines.next()) is not None:
+            waits.append(max(0.0, due - self._clock()))
+        ready = self._selector.select(min(waits, default=None))
+        self.now = self._clock()
         for key, mask in ready:
             if self._selector.get_map().get(key.fd) is key:  # an earlier handler may have closed it
                 self._guard(lambda key=key, mask=mask: key.data(mask))  # type: ignore[misc]
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -4,7 +4,6 @@
 
 import socket
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import httptools
@@ -206,7 +205,8 @@
 
     # ---- answering ----
 
-    def pass_on(self, event: bytes) -> None:
+    def pass_on(self, event: object) -> None:
+        assert isinstance(event, bytes)
         if not self._opened:
             self._opened = True
             fields = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
@@ -282,45 +282,21 @@
 
 
 class ClientFront:
-    """Listens for clients. `accepting` ends some time after `draining` has begun."""
+    """The clients' connections. `draining` begins some time before `stop_accepting`."""
 
-    def __init__(
-        self, loop: Loop, router: Router, names: Names, listener: socket.socket, room: Callable[[], bool]
-    ) -> None:
+    def __init__(self, loop: Loop, router: Router, names: Names) -> None:
         self.loop, self.router, self.names, self.log = loop, router, names, loop.log
         self.draining = False
         self.connections: set[ClientConnection] = set()
-        self._listener, self._room = listener, room
-        listener.setblocking(False)
-        loop.watch(listener, 1, self._accept)
-
-    def _accept(self, mask: int) -> None:
-        for _ in range(64):
-            if not self._room():
-                # Left in the kernel's queue: the limit on sockets would kill the process.
-                self.log("too many sockets", f"{self.loop.sockets} open, accepting later")
-                self.loop.watch(self._listener, 0, self._accept)
-                return self.loop.after(0.1, self._go_on)
-            try:
-                sock, _ = self._listener.accept()
-            except BlockingIOError:
-                return None
-            except OSError as error:
-                return self.log("accept failed", str(error))
-            self.connections.add(ClientConnection(self, sock))
-        return None
 
-    def _go_on(self) -> None:
-        if self._listener.fileno() >= 0:
-            self.loop.watch(self._listener, 1, self._accept)
+    def accepted(self, sock: socket.socket) -> None:
+        self.connections.add(ClientConnection(self, sock))
 
     def forget(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
 
     def stop_accepting(self) -> None:
-        """Close the listener and the connections on which nothing is asked."""
-        self.loop.watch(self._listener, 0, self._accept)
-        self._listener.close()
+        """Close the connections on which nothing is asked."""
         for connection in [c for c in self.connections if c.idle]:
             self.forget(connection)
             connection.channel.finish()
--- a/yewhook/platform/front.py
+++ b/yewhook/platform/front.py
@@ -1,60 +1,51 @@
-"""Puts the platform's front together, and ends it in good order."""
+"""Puts the platform's front together."""
 
 from __future__ import annotations
 
-import contextlib
-import gc
-import signal
-import socket
 import time
+from collections.abc import Callable
 
 from hopshed import interface as i
 
-from ..config import Address, Config
+from ..config import Config
 from ..core.router import Router
-from ..log import Log
 from ..loop import Loop
+from ..registry import Registry
+from ..releases import Releases
+from ..service import Acceptor, Room, listen
 from .clients import ClientFront
-from .discovery import Registry, Watch
-from .reservations import Reservations
+from .discovery import Watch
+from .reservations import delete
 from .workers import HttpWorkers, WorkerPool
 
-SPARE_SOCKETS = 64  # kept free of clients, for workers, discovery and files
-KEEP_ACCEPTING = 0.5  # s after SIGTERM in which new connections still arrive
-LAST_MOMENT = 0.3  # s before the end of the grace at which streams that still run are broken off
 
-
-def listen(address: Address) -> socket.socket:
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind(address)
-    listener.listen(512)
-    return listener
-
-
-class Service:
-    def __init__(self, config: Config, log: Log) -> None:
-        self.config, self.log = config, log
-        self.loop = loop = Loop(log)
-        most = config.limits.sockets - SPARE_SOCKETS
-        self.pool = WorkerPool(
-            loop, lambda: loop.sockets < most + SPARE_SOCKETS // 2, config.connect_timeout, config.idle_limit
-        )
+class PlatformFront:
+    def __init__(self, loop: Loop, config: Config, room: Room) -> None:
+        self.loop, self.config, self.log = loop, config, loop.log
+        self.settings = config.settings
+        self.pool = WorkerPool(loop, room.for_workers, config.connect_timeout, config.idle_limit)
         self.registry = Registry(config.names, time.monotonic() - time.time())
-        self.reservations = Reservations(loop, self.pool, self.registry.running)
-        workers = HttpWorkers(self.pool, config.names.columns, self.reservations.release)
-        workers.addresses = self.registry.addresses
-        self.router = Router(
-            config.settings, config.seed, loop.deadlines, lambda: loop.now, workers, log
+        self.releases = Releases(
+            loop,
+            lambda address, request_id, done: delete(self.pool, address, request_id, done),
+            self.pool.latest,
+            self.registry.running,
+        )
+        workers = HttpWorkers(
+            self.pool, config.names.columns, self.registry.addresses, self.releases.release
         )
+        clock: Callable[[], float] = lambda: loop.now  # noqa: E731
+        self.router = Router(config.settings, config.seed, loop.deadlines, clock, workers, loop.log)
         workers.told = self.router
         loop.deciders.append(self.router)
         self._known()
         listener = listen(config.listen)
         self.port: int = listener.getsockname()[1]
-        self.front = ClientFront(loop, self.router, config.names, listener, lambda: loop.sockets < most)
+        self.clients = ClientFront(loop, self.router, config.names)
+        self._acceptor = Acceptor(loop, listener, room.for_clients, self.clients.accepted)
         generation = int(config.known.get("generation") or 0)
         self.watch = Watch(loop, config.discovery, generation, self.registry, self._listed)
+        self.log("serving", f"the platform's clients on {config.listen[0]}:{self.port}")
 
     def _known(self) -> None:
         try:
@@ -68,44 +59,19 @@
         self.pool.keep_only(self.registry.in_use())
         self.router.listed(kind, servers)
 
-    def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then finish what was taken."""
-        wake_read, wake_write = socket.socketpair()
-        for end in (wake_read, wake_write):
-            end.setblocking(False)
-        signal.set_wakeup_fd(wake_write.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: None)
-        self.loop.watch(wake_read, 1, lambda _: self._signalled(wake_read))
-        gc.collect()
-        gc.freeze()
-        self.log("serving", f"on {self.config.listen[0]}:{self.port}")
-        self.loop.run()
-        self.log("stopped")
-
-    def _signalled(self, wake: socket.socket) -> None:
-        with contextlib.suppress(BlockingIOError):
-            wake.recv(64)
-        self.drain()
+    @property
+    def busy(self) -> bool:
+        return self.router.busy or self.releases.busy or bool(self.clients.connections)
 
     def drain(self) -> None:
-        if self.front.draining:
-            return
-        self.front.draining = True
-        self.log("draining", f"{len(self.router.lives)} requests open")
-        self.loop.after(KEEP_ACCEPTING, self.front.stop_accepting)
-        self.loop.after(KEEP_ACCEPTING, self._finish)
-        longest = max(3.0, *(c.patience for c in self.config.settings.classes))
-        self.loop.after(longest + KEEP_ACCEPTING - LAST_MOMENT, self._break_off)
+        self.clients.draining = True
 
-    def _finish(self) -> None:
-        if self.router.busy or self.reservations.busy or self.front.connections:
-            return self.loop.after(0.02, self._finish)
-        self.watch.close()
-        self.loop.stopped = True
-        return None
+    def stop_accepting(self) -> None:
+        self._acceptor.stop()
+        self.clients.stop_accepting()
 
-    def _break_off(self) -> None:
-        """The platform kills what still runs; a stream broken off first goes on at another router."""
+    def break_off(self) -> None:
         self.router.break_off_streams()
-        self.loop.after(LAST_MOMENT / 2, lambda: setattr(self.loop, "stopped", True))
+
+    def close(self) -> None:
+        self.watch.close()
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -14,11 +14,12 @@
 from ..channel import Channel
 from ..config import Address
 from ..core.ending import Ending
+from ..core.ports import Told
 from ..loop import Loop
+from ..pool import Pool
 from . import http
 from .clients import Call
 
-IDLE_PART = 0.5  # part of the workers' idle limit after which this side closes an idle connection
 ANSWER_LIMIT = 64 * 1024  # bytes of an answer that is not a stream
 EVENT_LIMIT = 512 * 1024  # bytes of one event
 REPORT = "X-Pressure"
@@ -139,80 +140,21 @@
         self._reusable = self._parser.should_keep_alive()  # known only here: the parser starts anew after
 
 
-class WorkerPool:
-    """Connections to workers by address, those in use and those kept for the next exchange."""
+class WorkerPool(Pool[WorkerConnection]):
+    """The connections to workers, those in use and those kept for the next exchange."""
 
     def __init__(
         self, loop: Loop, room: Callable[[], bool], connect_timeout: float, idle_limit: float
     ) -> None:
-        self.loop, self.log = loop, loop.log
-        self.connect_timeout, self._keep_for = connect_timeout, idle_limit * IDLE_PART
-        self._room = room
-        self._idle: dict[Address, list[WorkerConnection]] = {}
-        self._sweep()
+        super().__init__(loop, room, idle_limit, lambda address: WorkerConnection(self, address))
+        self.log, self.connect_timeout = loop.log, connect_timeout
 
     def ask(self, address: Address, exchange: Exchange, request: bytes) -> WorkerConnection:
-        """Ask on a kept connection that is still good, the youngest first, else on a new one.
-
-        Raises OSError where none can be opened.
-        """
-        idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop()
-            if not connection.channel.stale:
-                connection.ask(exchange, request)
-                return connection
-            connection.close()
-        if not self._room() and not self._make_room():
-            raise OSError("too many sockets")
-        connection = WorkerConnection(self, address)
+        """Ask on a kept or a new connection. Raises OSError where none can be opened."""
+        connection = self.take(address)
         connection.ask(exchange, request)
         return connection
 
-    def keep(self, connection: WorkerConnection) -> None:
-        connection.idle_since = self.loop.now
-        self._idle.setdefault(connection.address, []).append(connection)
-
-    def forget(self, connection: WorkerConnection) -> None:
-        idle = self._idle.get(connection.address, [])
-        if connection in idle:
-            idle.remove(connection)
-
-    def latest(self) -> list[Address]:
-        """Addresses with a kept connection, the one last used first: those workers live."""
-        youngest = {address: idle[-1].idle_since for address, idle in self._idle.items() if idle}
-        return sorted(youngest, key=lambda address: youngest[address], reverse=True)
-
-    def keep_only(self, addresses: set[Address]) -> None:
-        """Close what is kept to addresses that no worker has any more."""
-        for address in self._idle.keys() - addresses:
-            for connection in self._idle.pop(address):
-                connection.close()
-
-    def _make_room(self) -> bool:
-        kept = (c for idle in self._idle.values() for c in idle)
-        oldest = min(kept, key=lambda c: c.idle_since, default=None)
-        if oldest is not None:
-            oldest.close()
-        return oldest is not None
-
-    def _sweep(self) -> None:
-        """A worker closes what stands idle; a request that crosses this is lost, so this side goes first."""
-        for idle in self._idle.values():
-            for connection in [c for c in idle if self.loop.now - c.idle_since > self._keep_for]:
-                connection.close()
-        self.loop.after(min(1.0, self._keep_for / 4), self._sweep)
-
-
-class Told(Protocol):
-    """Where an attempt's events and its end are told: the core's router."""
-
-    def event(self, request_id: str, number: int, data: bytes) -> None: ...
-
-    def ended(
-        self, request_id: str, number: int, ending: Ending, note: int = 0, load: i.Load | None = None
-    ) -> None: ...
-
 
 class AttemptExchange:
     """One attempt at one worker, from its answer's head to its end."""
@@ -226,7 +168,6 @@
         self._events = http.EventSplitter()
         self._found = 0
         self._load: i.Load | None = None
-        self._any = False
 
     def begun(self, status: int, headers: dict[str, str]) -> None:
         self._status, self._headers = status, headers
@@ -250,7 +191,6 @@
             return
         if b'"usage"' in event:
             self._found = cached(event) or self._found
-        self._any = True
         self.workers.told.event(self.request_id, self.attempt, event)
 
     def whole(self) -> None:
@@ -258,7 +198,7 @@
             self._event(rest)
         status, turned_away = self._status, self._headers.get("x-turned-away") == "1"
         if status == 200:
-            ending = Ending.SERVED if self._any else Ending.GARBLED
+            ending = Ending.SERVED
         elif status == 202:
             ending = Ending.READ
             self._found = found(self._body)
@@ -299,9 +239,14 @@
 
     told: Told
 
-    def __init__(self, pool: WorkerPool, columns: tuple[str, ...], release: Callable[[str], None]) -> None:
-        self.pool, self.columns = pool, columns
-        self.addresses: dict[int, Address] = {}
+    def __init__(
+        self,
+        pool: WorkerPool,
+        columns: tuple[str, ...],
+        addresses: dict[int, Address],
+        release: Callable[[str], None],
+    ) -> None:
+        self.pool, self.columns, self.addresses = pool, columns, addresses
         self._release = release
         self._out: dict[tuple[str, int], AttemptExchange] = {}
 
--- /dev/null
+++ b/yewhook/pool.py
@@ -0,0 +1,85 @@
+"""Connections kept for the next exchange, by address. One exchange at a time travels on each."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Generic, Protocol, TypeVar
+
+from .channel import Channel
+from .config import Address
+from .loop import Loop
+
+IDLE_PART = 0.5  # part of the other side's idle limit after which this side closes an idle connection
+
+
+class Pooled(Protocol):
+    address: Address
+    channel: Channel
+    idle_since: float
+
+    def close(self) -> None: ...
+
+
+C = TypeVar("C", bound=Pooled)
+
+
+class Pool(Generic[C]):
+    def __init__(
+        self, loop: Loop, room: Callable[[], bool], idle_limit: float, connect: Callable[[Address], C]
+    ) -> None:
+        self.loop = loop
+        self._room, self._keep_for, self._connect = room, idle_limit * IDLE_PART, connect
+        self._idle: dict[Address, list[C]] = {}
+        self._sweep()
+
+    def take(self, address: Address) -> C:
+        """A kept connection that is still good, the youngest first, else a new one.
+
+        Raises OSError where none can be opened.
+        """
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if not connection.channel.closed and not connection.channel.stale:
+                return connection
+            connection.close()
+        if not self._room() and not self._make_room():
+            raise OSError("too many sockets")
+        return self._connect(address)
+
+    def keep(self, connection: C) -> None:
+        connection.idle_since = self.loop.now
+        self._idle.setdefault(connection.address, []).append(connection)
+
+    def forget(self, connection: C) -> None:
+        idle = self._idle.get(connection.address, [])
+        if connection in idle:
+            idle.remove(connection)
+
+    def latest(self) -> list[Address]:
+        """Addresses with a kept connection, the one last used first: those servers live."""
+        youngest = {address: idle[-1].idle_since for address, idle in self._idle.items() if idle}
+        return sorted(youngest, key=lambda address: youngest[address], reverse=True)
+
+    def keep_only(self, addresses: set[Address]) -> None:
+        """Close what is kept to addresses that no server has any more."""
+        for address in self._idle.keys() - addresses:
+            for connection in self._idle.pop(address):
+                connection.close()
+
+    def _make_room(self) -> bool:
+        kept = (c for idle in self._idle.values() for c in idle)
+        oldest = min(kept, key=lambda c: c.idle_since, default=None)
+        if oldest is not None:
+            self.forget(oldest)
+            oldest.close()
+        return oldest is not None
+
+    def _sweep(self) -> None:
+        """A server closes what stands idle; a request that crosses this is lost, so this side goes first."""
+        for address, idle in self._idle.items():
+            old = [c for c in idle if self.loop.now - c.idle_since > self._keep_for]
+            self._idle[address] = [c for c in idle if c not in old]
+            for connection in old:
+                connection.close()
+        self.loop.after(min(1.0, self._keep_for / 4), self._sweep)
--- /dev/null
+++ b/yewhook/registry.py
@@ -0,0 +1,68 @@
+"""The list of workers in discovery's form, translated for the module; and where each worker listens."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import Any
+
+from hopshed import interface as i
+
+from .config import Address, Names, address
+
+STATES = {
+    "up": i.ServerState.RUNNING,
+    "draining": i.ServerState.DRAINING,
+    "removed": i.ServerState.GONE,
+}
+
+
+def server_id(instance: str) -> int:
+    """The same number for a worker at every router, whatever order they heard of it in."""
+    return int.from_bytes(blake2b(instance.encode(), digest_size=6).digest(), "big")
+
+
+class Registry:
+    """Translates discovery's entries into the module's servers, and keeps their addresses."""
+
+    def __init__(self, names: Names, unix_offset: float) -> None:
+        self._names, self._offset = names, unix_offset  # monotonic less Unix time
+        self.addresses: dict[int, Address] = {}
+        self.states: dict[int, i.ServerState] = {}
+
+    def entry(self, raw: dict[str, Any]) -> i.Server:
+        number = server_id(str(raw["instanceId"]))
+        started = float(raw.get("startedAtMs") or 0.0)
+        zone, kind = raw.get("zone"), raw.get("machineType")
+        return i.Server(
+            number,
+            self._names.kinds.index(kind) if kind in self._names.kinds else -1,
+            self._names.zones.index(zone) if zone in self._names.zones else 0,
+            int(raw.get("cell") or 0),
+            STATES[raw["lifecycle"]],
+            started / 1000.0 + self._offset if started else None,
+            float(raw.get("weight") or 1.0),
+        )
+
+    def read(self, message: dict[str, Any]) -> tuple[i.Server, ...]:
+        """The servers of a list or of changes. Raises ValueError, KeyError or TypeError."""
+        servers = []
+        for raw in message.get("instances") or []:
+            server = self.entry(raw)
+            if server.kind < 0:
+                continue  # a kind of machine that the settings don't know has no role here
+            if raw.get("hostPort"):
+                self.addresses[server.id] = address(raw["hostPort"], "hostPort")
+            servers.append(server)
+        if message.get("reset"):
+            named = {server.id for server in servers}
+            self.states = {n: s for n, s in self.states.items() if n in named}
+        self.states.update((server.id, server.state) for server in servers)
+        return tuple(servers)
+
+    def in_use(self) -> set[Address]:
+        there = (n for n, state in self.states.items() if state is not i.ServerState.GONE)
+        return {self.addresses[n] for n in there if n in self.addresses}
+
+    def running(self) -> list[Address]:
+        up = (n for n, state in self.states.items() if state is i.ServerState.RUNNING)
+        return [self.addresses[n] for n in up if n in self.addresses]
--- /dev/null
+++ b/yewhook/service.py
@@ -0,0 +1,159 @@
+"""One process: its loop, its fronts, and how it ends in good order."""
+
+from __future__ import annotations
+
+import contextlib
+import gc
+import selectors
+import signal
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+from hopshed.interface import Settings
+
+from .config import Address, Limits
+from .log import Log
+from .loop import Loop
+
+SPARE_SOCKETS = 64  # of the limit kept free of clients; half of them of workers, too, for discovery and files
+KEEP_ACCEPTING = 0.5  # s after SIGTERM in which new connections still arrive
+LAST_MOMENT = 0.3  # s before the end of the grace at which streams that still run are broken off
+ACCEPT_AT_ONCE, ACCEPT_AGAIN = 64, 0.1  # connections a turn; s until a full process tries again
+GRACE_LEAST = 3.0  # s; the grace is the longest patience of a class, or this
+
+
+def listen(address: Address) -> socket.socket:
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(address)
+    listener.listen(512)
+    listener.setblocking(False)
+    return listener
+
+
+class Room:
+    """How many more sockets may be opened: clients leave some for what they ask for."""
+
+    def __init__(self, loop: Loop, limits: Limits) -> None:
+        self._loop, self._most = loop, limits.sockets
+
+    def for_clients(self) -> bool:
+        return self._loop.sockets < self._most - SPARE_SOCKETS
+
+    def for_workers(self) -> bool:
+        return self._loop.sockets < self._most - SPARE_SOCKETS // 2
+
+
+class Acceptor:
+    """Accepts connections while there is room for them."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        listener: socket.socket,
+        room: Callable[[], bool],
+        accepted: Callable[[socket.socket], None],
+    ) -> None:
+        self._loop, self._listener, self._room, self._accepted = loop, listener, room, accepted
+        loop.watch(listener, selectors.EVENT_READ, self._accept)
+
+    def _accept(self, mask: int) -> None:
+        for _ in range(ACCEPT_AT_ONCE):
+            if not self._room():
+                # What waits stays in the kernel's queue: over its limit the process would be killed.
+                self._loop.log("too many sockets", f"{self._loop.sockets} open, accepting later")
+                self._loop.watch(self._listener, 0, self._accept)
+                return self._loop.after(ACCEPT_AGAIN, self._go_on)
+            try:
+                sock, _ = self._listener.accept()
+            except BlockingIOError:
+                return None
+            except OSError as error:
+                return self._loop.log("accept failed", str(error))
+            self._accepted(sock)
+        return None
+
+    def _go_on(self) -> None:
+        if self._listener.fileno() >= 0:
+            self._loop.watch(self._listener, selectors.EVENT_READ, self._accept)
+
+    def stop(self) -> None:
+        self._loop.watch(self._listener, 0, self._accept)
+        self._listener.close()
+
+
+class Front(Protocol):
+    settings: Settings
+
+    @property
+    def busy(self) -> bool:
+        """Whether something that was taken is not finished."""
+
+    def drain(self) -> None:
+        """Say that this router goes, and still take what comes."""
+
+    def stop_accepting(self) -> None: ...
+
+    def break_off(self) -> None:
+        """End the streams that still run: the process is about to go."""
+
+    def close(self) -> None: ...
+
+
+class Service:
+    def __init__(self, log: Log, loop: Loop | None = None) -> None:
+        self.log, self.loop = log, loop or Loop(log)
+        self.fronts: list[Front] = []
+        self.draining = False
+
+    def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then finish what was taken."""
+        wake_read, wake_write = socket.socketpair()
+        for end in (wake_read, wake_write):
+            end.setblocking(False)
+        signal.set_wakeup_fd(wake_write.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: None)
+        self.loop.watch(wake_read, 1, lambda _: self._signalled(wake_read))
+        gc.collect()
+        gc.freeze()
+        self.loop.run()
+        self.log("stopped")
+
+    def _signalled(self, wake: socket.socket) -> None:
+        with contextlib.suppress(BlockingIOError):
+            wake.recv(64)
+        self.drain()
+
+    def drain(self) -> None:
+        if self.draining:
+            return
+        self.draining = True
+        self.log("draining")
+        for front in self.fronts:
+            front.drain()
+        self.loop.after(KEEP_ACCEPTING, self._stop_accepting)
+        patience = [c.patience for front in self.fronts for c in front.settings.classes]
+        self.loop.after(max(GRACE_LEAST, *patience) + KEEP_ACCEPTING - LAST_MOMENT, self._break_off)
+
+    def _stop_accepting(self) -> None:
+        for front in self.fronts:
+            front.stop_accepting()
+        self._finish()
+
+    def _finish(self) -> None:
+        if any(front.busy for front in self.fronts):
+            return self.loop.after(0.02, self._finish)
+        return self._stop()
+
+    def _stop(self) -> None:
+        for front in self.fronts:
+            front.close()
+        self.loop.stopped = True
+
+    def _break_off(self) -> None:
+        """The platform kills what still runs; a stream broken off first can go on at another router."""
+        for front in self.fronts:
+            front.break_off()
+        self.loop.after(LAST_MOMENT / 2, self._stop)
--- /dev/null
+++ b/yewhook/toolcalls/config.py
@@ -0,0 +1,76 @@
+"""What `deploy/toolcalls.toml` says, checked once."""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from hopshed.interface import Settings
+
+from ..config import Address, ConfigError, Names, address, translate
+
+KEYS = {"listen", "records", "domain", "worker_service", "tool_service", "settings",
+        "tool_deadline_s", "worker_silence_s", "connect_timeout_s", "idle_limit_s"}  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class ToolCallsConfig:
+    listen: Address
+    records: Path
+    domain: str
+    worker_service: str
+    tool_service: str
+    settings: Settings
+    names: Names
+    tool_deadline: float  # s for one tool call, from its request to its reply
+    worker_silence: float  # s that a running stream may stand still while no tool call is open
+    connect_timeout: float
+    idle_limit: float  # s after which the other side closes an idle connection
+
+
+def read(path: Path) -> ToolCallsConfig:
+    try:
+        raw = tomllib.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+    if unknown := raw.keys() - KEYS:
+        raise ConfigError(f"{path}: unknown key {sorted(unknown)[0]!r}")
+
+    def text(key: str) -> str:
+        if not isinstance(raw.get(key), str) or not raw[key]:
+            raise ConfigError(f"{path}: {key} must be a text")
+        return str(raw[key])
+
+    def positive(key: str, default: float) -> float:
+        value = raw.get(key, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+            raise ConfigError(f"{path}: {key} must be a number above 0")
+        return float(value)
+
+    settings, names = _settings(path.parent / text("settings"))
+    return ToolCallsConfig(
+        listen=address(text("listen"), f"{path}: listen"),
+        records=path.parent / text("records"),
+        domain=text("domain").rstrip(".") + ".",
+        worker_service=text("worker_service"),
+        tool_service=text("tool_service"),
+        settings=settings,
+        names=names,
+        tool_deadline=positive("tool_deadline_s", 10.0),
+        worker_silence=positive("worker_silence_s", 30.0),
+        connect_timeout=positive("connect_timeout_s", 0.25),
+        idle_limit=positive("idle_limit_s", 30.0),
+    )
+
+
+def _settings(path: Path) -> tuple[Settings, Names]:
+    try:
+        env: Any = json.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+    if not isinstance(env, dict):
+        raise ConfigError(f"{path}: expected an object")
+    return translate(env)
--- /dev/null
+++ b/yewhook/toolcalls/fleet.py
@@ -0,0 +1,59 @@
+"""The workers that the records name, in discovery's form; looked at again while the process runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from hopshed import interface as i
+
+from ..dnssd import Records, RecordsError, ServiceInstance
+from ..loop import Loop
+from ..registry import Registry
+
+LOOK_EVERY = 0.5  # s
+
+
+def entry(instance: ServiceInstance) -> dict[str, Any]:
+    texts = instance.texts
+    return {
+        "instanceId": texts.get("id") or instance.name,
+        "hostPort": f"{instance.address[0]}:{instance.address[1]}",
+        "zone": texts.get("zone"),
+        "machineType": texts.get("kind"),
+        "cell": texts.get("cell") or 0,
+        "lifecycle": texts.get("state") or "up",
+        "weight": texts.get("weight") or 1.0,
+        "startedAtMs": texts.get("started") or 0,
+    }
+
+
+class Fleet:
+    def __init__(
+        self,
+        loop: Loop,
+        records: Records,
+        service: str,
+        registry: Registry,
+        listed: Callable[[i.ListKind, tuple[i.Server, ...]], None],
+    ) -> None:
+        self._loop, self._records, self._service = loop, records, service
+        self._registry, self._listed = registry, listed
+        self._read(i.ListKind.SAVED)
+        loop.after(LOOK_EVERY, self._look)
+
+    def _look(self) -> None:
+        try:
+            if self._records.refresh():
+                self._read(i.ListKind.FULL)
+        except RecordsError as error:
+            self._loop.log("records not understood", str(error))
+        self._loop.after(LOOK_EVERY, self._look)
+
+    def _read(self, kind: i.ListKind) -> None:
+        entries = [entry(instance) for instance in self._records.browse(self._service)]
+        try:
+            servers = self._registry.read({"reset": True, "instances": entries})
+        except (KeyError, TypeError, ValueError) as error:
+            return self._loop.log("records not understood", f"{self._service}: {error}")
+        return self._listed(kind, servers)
