--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -20,8 +20,10 @@
 CORE = Path(__file__).parent.parent / "yewhook" / "core"
 Out = i.Outcome
 ROWS = [
-    (Ending.SERVED, Out.OK), (Ending.READ, Out.READ), (Ending.ERROR, Out.FAILED), (Ending.GARBLED, Out.FAILED),
-    (Ending.TURNED_AWAY, Out.FULL), (Ending.STATE_GONE, Out.FULL), (Ending.CONNECT_REFUSED, Out.UNREACHABLE),
+    (Ending.SERVED, Out.OK), (Ending.READ, Out.READ), (Ending.ERROR, Out.FAILED),
+    (Ending.GARBLED, Out.FAILED),
+    (Ending.TURNED_AWAY, Out.FULL), (Ending.STATE_GONE, Out.FULL),
+    (Ending.CONNECT_REFUSED, Out.UNREACHABLE),
     (Ending.CONNECT_SILENT, Out.UNREACHABLE), (Ending.NO_SOCKET, Out.UNREACHABLE),
     (Ending.BROKEN_UNSENT, Out.UNREACHABLE), (Ending.UNSENT_IN_TIME, Out.UNREACHABLE),
     (Ending.BROKEN, Out.RESET), (Ending.CLOSED, Out.RESET), (Ending.TIMED_OUT, Out.TIMED_OUT),
