--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,42 @@
+"""The pages and files that staff go by must say what the program does."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from pathlib import Path
+
+from yewhook.dnssd import Records
+from yewhook.jsonrpc import Code
+from yewhook.toolcalls.config import read
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_the_on_call_page_lists_each_log_line_and_no_other() -> None:
+    sources = "".join(path.read_text() for path in (ROOT / "yewhook").rglob("*.py"))
+    written = set(re.findall(r'\blog\(\s*"([^"]+)"', sources))
+    listed = set(re.findall(r"^\| `([^`]+)` \|", (ROOT / "docs" / "ON-CALL.md").read_text(), re.MULTILINE))
+    assert written == listed
+
+
+def test_the_tool_calls_page_lists_each_error_code_and_no_other() -> None:
+    text = (ROOT / "docs" / "TOOL-CALLS.md").read_text()
+    assert {int(code) for code in re.findall(r"^\| (-32\d+) \|", text, re.MULTILINE)} == set(Code)
+
+
+def test_the_deploy_files_are_good_ones() -> None:
+    config = read(ROOT / "deploy" / "toolcalls.toml")
+    records = Records(config.records, config.domain)
+    assert [s.name for s in records.browse(config.tool_service)] == ["repair-desk"]
+    assert {s.texts["kind"] for s in records.browse(config.worker_service)} <= set(config.names.kinds)
+
+
+def test_the_tool_calls_front_is_off_on_the_platform() -> None:
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    assert run.endswith("-m yewhook serve")  # and it listens only where --toolcalls names a file
+
+
+def test_ci_runs_the_test_command_that_the_readme_names() -> None:
+    assert "make lint test" in (ROOT / "README.md").read_text()
+    assert "make lint test" in (ROOT / ".ci" / "run").read_text()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,6 +11,7 @@
 
 from yewhook.config import Config, Limits, translate
 from yewhook.platform.front import PlatformFront
+from yewhook.platform.http import EventSplitter
 from yewhook.service import Room
 
 FLEET = {"reader": "prefill", "writer": "decode"}
@@ -152,6 +153,27 @@
     assert "0\r\n\r\n" not in p.parties["client"].text
 
 
+@pytest.mark.parametrize("end", ["\n\n", "\r\n\r\n"])
+def test_events_are_cut_at_blank_lines_of_either_kind(end: str) -> None:
+    # With CRLF no blank line was seen, and a stream came out in one piece at its end.
+    splitter, stream, got = EventSplitter(), f"data: 1{end}data: 2{end}: rest", []
+    for byte in stream.encode():
+        got += splitter.feed(bytes([byte]))
+    assert got == [f"data: 1{end}".encode(), f"data: 2{end}".encode()]
+    with pytest.raises(ValueError, match="without end"):
+        splitter.feed(b"x" * 600_000)
+
+
+def test_a_connection_kept_while_its_client_is_slow_is_read_again(p: Platform) -> None:
+    # It stayed paused in the pool, so the next request on it ran into its time-out.
+    p.play(begin("id=r1") + "writer send stream\nwriter send event text=a\nclient expect a")
+    for connection in p.front.clients.connections:
+        p.front.router.client_slow(connection.request_id, True)
+    attempt = next(iter(p.front.router.workers._out.values()))  # type: ignore[attr-defined]
+    attempt.connection.received(b"0\r\n\r\n")
+    p.play("wait 0.1\n" + begin("id=r2") + "writer send stream\nwriter send event text=b\nclient expect b")
+
+
 @pytest.mark.parametrize("how", ["reset", "close"])
 def test_an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again(wide: Platform, how: str) -> None:
     wide.play("client send ask lane=service-log")
@@ -318,13 +340,14 @@
 def test_a_failing_turn_is_logged_and_its_requests_are_answered(
     p: Platform, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    module = p.front.router._module
-
     def fail(now: float, events: object) -> None:
         raise RuntimeError("broken")
 
-    monkeypatch.setattr(module, "handle", fail)
+    p.wait(0.1)
+    monkeypatch.setattr(p.front.router._module, "handle", fail)
+    began = p.clock.now
     p.play("client send ask id=r1\nclient expect HTTP/1.1 503")
+    assert p.clock.now - began < 0.1
     assert any("turn failed" in line and "broken" in line for line in p.log.lines)
     p.play("client send ask id=r2\nreader expect POST")  # a fresh module goes on
 
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,89 @@
+"""The program as it is started: its command line, its signals, its logs."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from settings import ENV
+from typer.testing import CliRunner
+
+from yewhook import __version__
+from yewhook.cli import app
+from yewhook.log import BURST, SPAN, Log
+
+ROOT = Path(__file__).parent.parent
+
+
+def config(folder: Path, **changes: object) -> Path:
+    raw = {"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f", "settings": ENV}
+    path = folder / "config.json"
+    path.write_text(json.dumps(raw | changes))
+    return path
+
+
+def test_serve_starts_and_sigterm_ends_it_with_0(tmp_path: Path) -> None:
+    env = os.environ | {"PROXY_CONFIG": str(config(tmp_path)), "PROXY_NAME": "n3"}
+    command = [sys.executable, "-m", "yewhook", "serve"]
+    with subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True) as process:
+        assert process.stderr is not None
+        line = process.stderr.readline()
+        # A signal that came right after this line once killed the process: nothing heeded it yet.
+        assert " n3 serving: " in line
+        process.send_signal(signal.SIGTERM)
+        rest = process.stderr.read()
+        assert process.wait(timeout=20) == 0
+    assert "draining" in rest and "stopped" in rest and "Traceback" not in rest
+
+
+@pytest.mark.parametrize(
+    ("changes", "complaint"),
+    [
+        ({"listen": "nowhere"}, "PROXY_LISTEN: expected host:port"),
+        ({"settings": {}}, "at least one request class"),
+        ({"settings": 3}, "expected an object with 'settings'"),
+        ({"seed": "xyz"}, "invalid literal"),
+    ],
+)
+def test_a_bad_configuration_is_one_plain_line(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, changes: dict[str, object], complaint: str
+) -> None:
+    monkeypatch.setenv("PROXY_CONFIG", str(config(tmp_path, **changes)))
+    for command in ("check", "serve"):
+        done = CliRunner().invoke(app, [command])
+        assert done.exit_code == 2 and complaint in done.output and "Traceback" not in done.output
+
+
+def test_the_other_commands(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    run = CliRunner().invoke
+    monkeypatch.delenv("PROXY_CONFIG", raising=False)
+    assert run(app, ["version"]).output.strip() == __version__
+    assert "not set" in run(app, ["check"]).output
+    good = run(app, ["check", "--toolcalls", "deploy/toolcalls.toml", "--fleet", "deploy/fleet.toml"])
+    assert good.exit_code == 0 and "127.0.0.1:9443" in good.output
+    zone = ["deploy/fleet.zone", "fleet.teranga.example.", "_yewhook-tool._tcp"]
+    assert "repair-desk" in run(app, ["browse", *zone]).output
+    assert run(app, ["browse", str(tmp_path / "none"), *zone[1:]]).exit_code == 2
+    nobody = run(app, ["status", "--agent", "127.0.0.1:1"])
+    assert nobody.exit_code == 1 and "no agent" in nobody.output
+
+
+def test_log_lines_of_one_event_are_limited(
+    capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    now = [0.0]
+    monkeypatch.setattr("yewhook.log.time.monotonic", lambda: now[0])
+    log = Log("n1")
+    for _ in range(BURST + 5):
+        log("accept failed", "why")
+    log("stopped")
+    now[0] = SPAN + 1
+    log("accept failed", "why")
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == BURST + 2
+    assert lines[-1].endswith("(5 lines like this were left out)")
--- /dev/null
+++ b/yewhook/agent.py
@@ -0,0 +1,400 @@
+"""The agent: runs the router instances of one fleet file, and answers about them on loopback."""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+import os
+import socket
+import subprocess
+import sys
+import tomllib
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+from .channel import Channel
+from .config import Address, ConfigError, address
+from .config import read as read_config
+from .dnssd import ServiceInstance, master_file
+from .jsonrpc import Code, Id, Peer, RpcError, encode
+from .loop import Loop
+from .service import Acceptor, listen
+from .toolcalls.config import read as read_toolcalls
+
+POLL = 0.1  # s between looks at the processes
+PROBE_EVERY, PROBE_PATIENCE, PROBES_LOST = 0.5, 1.0, 3  # s, s, lost in a row until an instance is not ready
+BACKOFF, BACKOFF_MOST = 0.2, 10.0  # s until a restart, doubling
+STEADY = 10.0  # s of good service after which the next restart is quick again
+KEYS = {
+    "agent": {"listen", "records", "domain", "service", "grace_s"},
+    "instance": {"name", "config", "toolcalls"},
+}
+
+
+class State(Enum):
+    STARTING = "starting"  # its process runs and has not answered yet
+    READY = "ready"
+    UNRESPONSIVE = "unresponsive"  # its process runs and answers no more
+    WAITING = "waiting"  # its process has ended; the next one is due after a while
+    STOPPING = "stopping"  # told to finish what it has taken
+    STOPPED = "stopped"
+
+
+@dataclass(frozen=True, slots=True)
+class Spec:
+    """One instance of the fleet file."""
+
+    name: str
+    config: Path | None  # the platform's front, if it has one
+    toolcalls: Path | None
+    fronts: Mapping[str, Address]
+
+    def command(self) -> list[str]:
+        command = [sys.executable, "-m", "yewhook", "serve"]
+        if self.config is None:
+            command.append("--no-platform")
+        if self.toolcalls is not None:
+            command += ["--toolcalls", str(self.toolcalls)]
+        return command
+
+    def environ(self) -> dict[str, str]:
+        # The agent's own PROXY_ variables are not for its instances.
+        base = {key: value for key, value in os.environ.items() if not key.startswith("PROXY_")}
+        config = {"PROXY_CONFIG": str(self.config)} if self.config is not None else {}
+        return base | {"PROXY_NAME": self.name} | config
+
+
+@dataclass(frozen=True, slots=True)
+class FleetFile:
+    listen: Address
+    records: Path
+    domain: str
+    service: str
+    grace: float  # s that instances have to finish what they took
+    instances: tuple[Spec, ...]
+
+
+def _checked(table: Any, kind: str, path: Path) -> dict[str, Any]:
+    if not isinstance(table, dict):
+        raise ConfigError(f"{path}: expected a table [{kind}]")
+    if unknown := table.keys() - KEYS[kind]:
+        raise ConfigError(f"{path}: unknown key {sorted(unknown)[0]!r} in [{kind}]")
+    return table
+
+
+def _text(table: dict[str, Any], key: str, path: Path) -> str:
+    if not isinstance(table.get(key), str) or not table[key]:
+        raise ConfigError(f"{path}: {key} must be a text")
+    return str(table[key])
+
+
+def read(path: Path) -> FleetFile:
+    try:
+        raw = tomllib.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+    agent = _checked(raw.get("agent"), "agent", path)
+    place = address(_text(agent, "listen", path), f"{path}: listen")
+    if not ipaddress.ip_address(place[0]).is_loopback:
+        raise ConfigError(f"{path}: the agent listens on loopback only, not on {place[0]}")
+    grace = agent.get("grace_s", 20.0)
+    if isinstance(grace, bool) or not isinstance(grace, int | float) or grace <= 0:
+        raise ConfigError(f"{path}: grace_s must be a number above 0")
+    tables = raw.get("instance") or []
+    specs = tuple(_spec(_checked(table, "instance", path), path) for table in tables)
+    names = [spec.name for spec in specs]
+    if not specs or len(set(names)) < len(names):
+        raise ConfigError(f"{path}: expected [[instance]] tables, each with a name of its own")
+    records = path.parent / _text(agent, "records", path)
+    domain, service = _text(agent, "domain", path), _text(agent, "service", path)
+    return FleetFile(place, records, domain, service, float(grace), specs)
+
+
+def _spec(table: dict[str, Any], path: Path) -> Spec:
+    name = _text(table, "name", path)
+    config = path.parent / _text(table, "config", path) if "config" in table else None
+    toolcalls = path.parent / _text(table, "toolcalls", path) if "toolcalls" in table else None
+    fronts = {}
+    if config is not None:
+        fronts["platform"] = read_config({"PROXY_CONFIG": str(config)}).listen
+    if toolcalls is not None:
+        fronts["toolcalls"] = read_toolcalls(toolcalls).listen
+    if not fronts:
+        raise ConfigError(f"{path}: instance {name!r} has neither a config nor a toolcalls file")
+    return Spec(name, config, toolcalls, fronts)
+
+
+class Probe:
+    """Asks one front whether it serves; each front's own way of asking."""
+
+    QUESTIONS: Mapping[str, bytes] = {
+        "platform": b"GET /healthz HTTP/1.1\r\nHost: agent\r\nConnection: close\r\n\r\n",
+        "toolcalls": encode({"id": 1, "method": "ping", "params": {}}),
+    }
+    ANSWERS: Mapping[str, bytes] = {"platform": b"HTTP/1.1 200", "toolcalls": b'"result"'}
+
+    def __init__(self, loop: Loop, front: str, place: Address, answered: Callable[[bool], None]) -> None:
+        self._front, self._answered, self._heard = front, answered, b""
+        self._over = False
+        try:
+            self._channel = Channel.connect(loop, place, self)
+        except OSError:
+            return self._end(False)
+        self._channel.send(self.QUESTIONS[front])
+        loop.after(PROBE_PATIENCE, lambda: self._end(False))
+
+    def connected(self) -> None:
+        """The question is on its way."""
+
+    def drained(self) -> None:
+        """The question is written."""
+
+    def received(self, data: bytes) -> None:
+        self._heard += data
+        if self.ANSWERS[self._front] in self._heard:
+            self._end(True)
+
+    def lost(self, error: OSError | None) -> None:
+        self._end(False)
+
+    def _end(self, well: bool) -> None:
+        if not self._over:
+            self._over = True
+            if hasattr(self, "_channel"):
+                self._channel.abort()
+            self._answered(well)
+
+
+class Instance:
+    """One router's process and what is known of it."""
+
+    def __init__(self, loop: Loop, spec: Spec, changed: Callable[[], None]) -> None:
+        self.spec, self.state = spec, State.STOPPED
+        self.restarts = 0
+        self._loop, self._changed = loop, changed
+        self._process: subprocess.Popen[bytes] | None = None
+        self._since = loop.now
+        self._backoff = BACKOFF
+        self._due = 0.0
+        self._again = False  # start anew once it has stopped
+        self._probing: dict[str, bool] = {}
+        self._probe_at, self._lost = 0.0, 0
+
+    @property
+    def running(self) -> bool:
+        return self._process is not None
+
+    def _to(self, state: State) -> None:
+        if state is not self.state:
+            self.state, self._since = state, self._loop.now
+            self._changed()
+
+    def start(self) -> None:
+        if self.running:
+            self._again = self.state is State.STOPPING
+            return
+        try:
+            self._process = subprocess.Popen(
+                self.spec.command(), env=self.spec.environ(), stdin=subprocess.DEVNULL, cwd=Path.cwd()
+            )
+        except OSError as error:
+            self._loop.log("instance not started", f"{self.spec.name}: {error}")
+            return self._wait()
+        self._lost, self._probing, self._probe_at = 0, {}, self._loop.now
+        self._loop.log("instance started", f"{self.spec.name} pid {self._process.pid}")
+        return self._to(State.STARTING)
+
+    def _wait(self) -> None:
+        self._due = self._loop.now + self._backoff
+        self._backoff = min(2 * self._backoff, BACKOFF_MOST)
+        self._to(State.WAITING)
+
+    def stop(self, again: bool = False) -> None:
+        """Tell it to finish what it has taken; start it anew after that if so wanted."""
+        self._again = again
+        if self._process is None:
+            self._to(State.STOPPED)
+            return self.start() if again else None
+        if self.state is not State.STOPPING:
+            self._process.terminate()
+            self._to(State.STOPPING)
+        return None
+
+    def kill(self) -> None:
+        if self._process is not None:
+            self._loop.log("instance killed", f"{self.spec.name}: not finished within the grace")
+            self._process.kill()
+
+    def reap(self) -> None:
+        if self._process is not None:
+            self._process.wait()
+            self._process = None
+
+    def look(self) -> None:
+        """See whether its process has ended or is to be started, and whether it answers."""
+        now = self._loop.now
+        if self._process is not None and (code := self._process.poll()) is not None:
+            self._process = None
+            if self.state is State.STOPPING:
+                self._to(State.STOPPED)
+                return self.start() if self._again else None
+            self._loop.log("instance exited", f"{self.spec.name} with {code}; again in {self._backoff:.1f} s")
+            self.restarts += 1
+            self._wait()
+        elif self.state is State.WAITING and now >= self._due:
+            self.start()
+        elif self.state in (State.STARTING, State.READY, State.UNRESPONSIVE) and now >= self._probe_at:
+            self._probe_at = now + PROBE_EVERY + PROBE_PATIENCE
+            self._probe()
+        if self.state is State.READY and now - self._since > STEADY:
+            self._backoff = BACKOFF
+        return None
+
+    def _probe(self) -> None:
+        results = self._probing = {}
+        process = self._process
+
+        def answered(front: str, well: bool) -> None:
+            results[front] = well
+            current = self._probing is results and self._process is process
+            if current and len(results) == len(self.spec.fronts) and self.state is not State.STOPPING:
+                self._probed(all(results.values()))
+
+        for front, place in self.spec.fronts.items():
+            Probe(self._loop, front, place, lambda well, front=front: answered(front, well))  # type: ignore[misc]
+
+    def _probed(self, well: bool) -> None:
+        self._probe_at = self._loop.now + PROBE_EVERY
+        self._lost = 0 if well else self._lost + 1
+        if well:
+            self._to(State.READY)
+        elif self.state is State.READY and self._lost >= PROBES_LOST:
+            self._loop.log("instance unresponsive", self.spec.name)
+            self._to(State.UNRESPONSIVE)
+
+    def report(self) -> dict[str, Any]:
+        return {
+            "name": self.spec.name,
+            "state": self.state.value,
+            "pid": self._process.pid if self._process is not None else None,
+            "restarts": self.restarts,
+            "since_s": round(self._loop.now - self._since, 1),
+            "listen": {front: f"{host}:{port}" for front, (host, port) in self.spec.fronts.items()},
+        }
+
+
+class Agent:
+    """A `Front` of its process: it drains by draining its instances."""
+
+    def __init__(self, loop: Loop, fleet: FleetFile, stop: Callable[[], None]) -> None:
+        self.loop, self.fleet, self.grace = loop, fleet, fleet.grace
+        self._stop = stop
+        self._peers: set[Peer] = set()
+        self.instances = {spec.name: Instance(loop, spec, self._publish) for spec in fleet.instances}
+        listener = listen(fleet.listen)
+        self.port: int = listener.getsockname()[1]
+        self._acceptor = Acceptor(loop, listener, lambda: True, self._accepted)
+        for instance in self.instances.values():
+            instance.start()
+        self._look()
+
+    def _look(self) -> None:
+        for instance in self.instances.values():
+            instance.look()
+        self.loop.after(POLL, self._look)
+
+    def _publish(self) -> None:
+        """Write the records of the instances that are ready; readers see the old file or the new one."""
+        ready = (n.spec for n in self.instances.values() if n.state is State.READY)
+        text = master_file(self.fleet.domain, self.fleet.service, _services(ready))
+        path = self.fleet.records
+        try:
+            path.with_name(path.name + ".new").write_text(text)
+            path.with_name(path.name + ".new").replace(path)
+        except OSError as error:
+            self.loop.log("records not written", str(error))
+
+    # ---- what is asked ----
+
+    def _accepted(self, sock: socket.socket) -> None:
+        peer = Peer(self.loop, self)
+        peer.up = True
+        peer.channel = Channel(self.loop, sock, peer)
+        self._peers.add(peer)
+
+    def request(self, peer: Peer, request_id: Id, method: str, params: dict[str, Any]) -> None:
+        if method == "agent/status":
+            instances = [instance.report() for instance in self.instances.values()]
+            return peer.result(request_id, {"instances": instances})
+        if method == "agent/shutdown":
+            self._stop()
+            return peer.result(request_id, {})
+        actions: dict[str, Callable[[Instance], None]] = {
+            "agent/start": Instance.start,
+            "agent/stop": Instance.stop,
+            "agent/restart": lambda instance: instance.stop(again=True),
+        }
+        if method not in actions:
+            raise RpcError(Code.METHOD_NOT_FOUND, f"unknown method {method!r}")
+        instance = self.instances.get(str(params.get("name")))
+        if instance is None:
+            raise RpcError(Code.INVALID_PARAMS, f"no instance named {params.get('name')!r}")
+        actions[method](instance)
+        return peer.result(request_id, instance.report())
+
+    def notification(self, peer: Peer, method: str, params: dict[str, Any]) -> None:
+        """Nothing is announced to the agent."""
+
+    def gone(self, peer: Peer) -> None:
+        self._peers.discard(peer)
+
+    def slow(self, peer: Peer, slow: bool) -> None:
+        """Reports are short."""
+
+    # ---- the end ----
+
+    @property
+    def busy(self) -> bool:
+        return any(instance.running for instance in self.instances.values())
+
+    def drain(self) -> None:
+        for instance in self.instances.values():
+            instance.stop()
+
+    def stop_accepting(self) -> None:
+        """The agent answers until its last instance has stopped."""
+
+    def break_off(self) -> None:
+        for instance in self.instances.values():
+            instance.kill()
+
+    def close(self) -> None:
+        self._acceptor.stop()
+        for peer in list(self._peers):
+            peer.close()
+        for instance in self.instances.values():
+            instance.reap()
+        self._publish()
+
+
+def _services(specs: Iterable[Spec]) -> Iterable[ServiceInstance]:
+    for spec in specs:
+        for front, place in spec.fronts.items():
+            yield ServiceInstance(f"{spec.name}-{front}", place, texts={"name": spec.name, "front": front})
+
+
+def ask(place: Address, method: str, params: dict[str, Any], timeout: float = 5.0) -> Any:
+    """One question to a running agent, for the command line. Raises OSError or RpcError."""
+    with socket.create_connection(place, timeout) as sock, sock.makefile("rb") as lines:
+        sock.sendall(encode({"id": 1, "method": method, "params": params}))
+        line = lines.readline()
+    try:
+        answer = json.loads(line)
+    except ValueError:
+        raise OSError("the agent hung up without an answer") from None
+    if "error" in answer:
+        raise RpcError(answer["error"]["code"], answer["error"]["message"])
+    return answer["result"]
--- a/yewhook/channel.py
+++ b/yewhook/channel.py
@@ -10,7 +10,7 @@
 from .loop import Loop
 
 READ_SIZE = 65536
-LINGER = 1.0  # s for the peer to take in the last answer before the socket goes
+FLUSH, LINGER = 10.0, 1.0  # s to write what is left, and then for the peer to close too
 
 
 class Owner(Protocol):
@@ -80,7 +80,7 @@
         if self.closed or self._finishing:
             return
         self._finishing, self._paused = True, False
-        self.loop.after(LINGER, self.abort)
+        self.loop.after(FLUSH, self.abort)
         if not self._out:
             self._end_sending()
 
@@ -151,6 +151,7 @@
         return self.owner.drained()
 
     def _end_sending(self) -> None:
+        self.loop.after(LINGER, self.abort)
         try:
             self._sock.shutdown(socket.SHUT_WR)
         except OSError:
--- a/yewhook/dnssd.py
+++ b/yewhook/dnssd.py
@@ -87,7 +87,8 @@
             assert isinstance(text, TXT)
             for raw in text.strings:
                 key, _, value = raw.decode("utf-8", "replace").partition("=")
-                texts.setdefault(key.lower(), value)  # of a repeated key the first counts (RFC 6763, 6.4)
+                if key:  # of a repeated key the first counts, and one without a name is none (6.4)
+                    texts.setdefault(key.lower(), value)
         name = owner.labels[0].decode("utf-8", "replace")
         found = []
         for service in self._all(owner, dns.rdatatype.SRV):
--- a/yewhook/platform/front.py
+++ b/yewhook/platform/front.py
@@ -22,7 +22,7 @@
 class PlatformFront:
     def __init__(self, loop: Loop, config: Config, room: Room) -> None:
         self.loop, self.config, self.log = loop, config, loop.log
-        self.settings = config.settings
+        self.grace = max(c.patience for c in config.settings.classes)
         self.pool = WorkerPool(loop, room.for_workers, config.connect_timeout, config.idle_limit)
         self.registry = Registry(config.names, time.monotonic() - time.time())
         self.releases = Releases(
--- a/yewhook/platform/http.py
+++ b/yewhook/platform/http.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
     411: "Length Required", 413: "Content Too Large", 429: "Too Many Requests",
@@ -10,6 +12,7 @@
 }  # fmt: skip
 BODY_LIMIT = 256 * 1024
 HEAD_LIMIT = 32 * 1024
+EVENT_LIMIT = 512 * 1024
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -30,13 +33,21 @@
 class EventSplitter:
     """Cuts a stream of server-sent events into whole events, wherever the reads fell."""
 
+    END = re.compile(rb"\r?\n\r?\n")
+
     def __init__(self) -> None:
         self._rest = b""
 
     def feed(self, data: bytes) -> list[bytes]:
-        """The events that are whole now, each with the blank line that ends it."""
-        *whole, self._rest = (self._rest + data).split(b"\n\n")
-        return [event + b"\n\n" for event in whole]
+        """The events that are whole now, each with its blank line. ValueError if one has no end."""
+        text, begin, events = self._rest + data, 0, []
+        for end in self.END.finditer(text):
+            events.append(text[begin : end.end()])
+            begin = end.end()
+        self._rest = text[begin:]
+        if len(self._rest) > EVENT_LIMIT:
+            raise ValueError("an event without end")
+        return events
 
     def rest(self) -> bytes:
         """What stands after the last blank line, once the stream has ended."""
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -21,7 +21,6 @@
 from .clients import Call
 
 ANSWER_LIMIT = 64 * 1024  # bytes of an answer that is not a stream
-EVENT_LIMIT = 512 * 1024  # bytes of one event
 REPORT = "X-Pressure"
 REPORT_COMMENT = b": X-Pressure:"
 # Names under which a report may hold what the settings' columns name
@@ -186,7 +185,7 @@
         while event.startswith(REPORT_COMMENT):
             line, _, event = event.partition(b"\n")
             self._load = report(line[len(REPORT_COMMENT) :], self.workers.columns) or self._load
-            event = event.lstrip(b"\n")
+            event = event.lstrip(b"\r\n")
         if not event:
             return
         if b'"usage"' in event:
--- a/yewhook/pool.py
+++ b/yewhook/pool.py
@@ -49,6 +49,7 @@
 
     def keep(self, connection: C) -> None:
         connection.idle_since = self.loop.now
+        connection.channel.pause(False)  # a slow client may have had its last exchange paused
         self._idle.setdefault(connection.address, []).append(connection)
 
     def forget(self, connection: C) -> None:
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from hopshed.interface import Settings
-
 from .config import Address, Limits
 from .log import Log
 from .loop import Loop
@@ -20,7 +18,7 @@
 KEEP_ACCEPTING = 0.5  # s after SIGTERM in which new connections still arrive
 LAST_MOMENT = 0.3  # s before the end of the grace at which streams that still run are broken off
 ACCEPT_AT_ONCE, ACCEPT_AGAIN = 64, 0.1  # connections a turn; s until a full process tries again
-GRACE_LEAST = 3.0  # s; the grace is the longest patience of a class, or this
+GRACE_LEAST = 3.0  # s; the grace is the longest that a front names, or this
 
 
 def listen(address: Address) -> socket.socket:
@@ -79,12 +77,13 @@
             self._loop.watch(self._listener, selectors.EVENT_READ, self._accept)
 
     def stop(self) -> None:
-        self._loop.watch(self._listener, 0, self._accept)
-        self._listener.close()
+        if self._listener.fileno() >= 0:
+            self._loop.watch(self._listener, 0, self._accept)
+            self._listener.close()
 
 
 class Front(Protocol):
-    settings: Settings
+    grace: float  # s that what it has taken may need to end
 
     @property
     def busy(self) -> bool:
@@ -106,16 +105,20 @@
         self.log, self.loop = log, loop or Loop(log)
         self.fronts: list[Front] = []
         self.draining = False
+        self._wake: tuple[socket.socket, socket.socket] | None = None
 
-    def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then finish what was taken."""
-        wake_read, wake_write = socket.socketpair()
+    def heed_signals(self) -> None:
+        """Drain at SIGTERM and SIGINT; to be called before anything is taken."""
+        wake_read, wake_write = self._wake = socket.socketpair()
         for end in (wake_read, wake_write):
             end.setblocking(False)
         signal.set_wakeup_fd(wake_write.fileno(), warn_on_full_buffer=False)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: None)
-        self.loop.watch(wake_read, 1, lambda _: self._signalled(wake_read))
+        self.loop.watch(wake_read, selectors.EVENT_READ, lambda _: self._signalled(wake_read))
+
+    def run(self) -> None:
+        """Serve until told to stop, then finish what was taken."""
         gc.collect()
         gc.freeze()
         self.loop.run()
@@ -134,8 +137,8 @@
         for front in self.fronts:
             front.drain()
         self.loop.after(KEEP_ACCEPTING, self._stop_accepting)
-        patience = [c.patience for front in self.fronts for c in front.settings.classes]
-        self.loop.after(max(GRACE_LEAST, *patience) + KEEP_ACCEPTING - LAST_MOMENT, self._break_off)
+        grace = max(GRACE_LEAST, *(front.grace for front in self.fronts))
+        self.loop.after(grace + KEEP_ACCEPTING - LAST_MOMENT, self._break_off)
 
     def _stop_accepting(self) -> None:
         for front in self.fronts:
--- a/yewhook/toolcalls/front.py
+++ b/yewhook/toolcalls/front.py
@@ -22,7 +22,7 @@
 
 class ToolCallsFront:
     def __init__(self, loop: Loop, config: ToolCallsConfig, room: Room, seed: int) -> None:
-        self.settings = config.settings
+        self.grace = max(c.patience for c in config.settings.classes)
         records = Records(config.records, config.domain)
         self.pool = PeerPool(loop, room.for_workers, config.connect_timeout, config.idle_limit)
         tools = Tools(
