--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -171,7 +171,8 @@
         p.front.router.client_slow(connection.request_id, True)
     attempt = next(iter(p.front.router.workers._out.values()))  # type: ignore[attr-defined]
     attempt.connection.received(b"0\r\n\r\n")
-    p.play("wait 0.1\n" + begin("id=r2") + "writer send stream\nwriter send event text=b\nclient expect b")
+    p.play("wait 0.1\n" + begin("id=r2") + "writer send stream\nwriter send event text=b")
+    p.play("client expect data: \"b\"")
 
 
 @pytest.mark.parametrize("how", ["reset", "close"])
