Give both fronts one base, and keep idle clients and bad list entries from doing harm

Seen by reading, each with a test now: idle client connections could fill the socket table for good (Acceptor waited, nobody closed); one malformed entry made the watch break for ever (Registry.read); a request's time-out kept its body for 10 s after it had arrived (ClientConnection.on_message_begin). The two fronts held the same lines for router, releases, attempts out and end; they share front.py.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -169,8 +169,9 @@
     p.play(begin("id=r1") + "writer send stream\nwriter send event text=a\nclient expect a")
     for connection in p.front.clients.connections:
         p.front.router.client_slow(connection.request_id, True)
-    attempt = next(iter(p.front.router.workers._out.values()))  # type: ignore[attr-defined]
-    attempt.connection.received(b"0\r\n\r\n")
+    writer = next(iter(p.front.workers._out.values())).connection
+    assert writer is not None
+    writer.received(b"0\r\n\r\n")
     p.play("wait 0.1\n" + begin("id=r2") + "writer send stream\nwriter send event text=b")
     p.play("client expect data: \"b\"")
 
@@ -359,3 +360,28 @@
     assert p.parties["client"].text == ""
     p.service.loop.sockets -= 1024 - 64
     p.play("wait 0.2\nclient expect 200 OK")
+
+
+def test_idle_clients_make_room_for_new_ones(p: Platform) -> None:
+    # Connections that clients merely keep open could fill the table, and nobody else would get in.
+    p.play("client send get path=/healthz\nclient expect 200 OK")
+    p.service.loop.sockets += 1024 - 64
+    p.play("late send get path=/healthz\nclient expect closed")
+    p.service.loop.sockets -= 1024 - 64
+    p.play("wait 0.2\nlate expect 200 OK")
+
+
+def test_a_request_that_never_arrives_whole_is_given_up(p: Platform) -> None:
+    p.parties["client"].send(b"POST /v1/chat/completions HTTP/1.1\r\nX-Txn: a")
+    p.play("wait 10.1\nclient expect HTTP/1.1 408\nclient expect closed")
+
+
+def test_a_malformed_entry_of_the_list_does_not_hide_the_others(p: Platform) -> None:
+    # One bad entry made the watch break and begin anew for ever, and no change came through any more.
+    bad: list[object] = [{"instanceId": "s-x"}, 7, p.entry("writer") | {"lifecycle": "odd"}]
+    bad.append(p.entry("writer") | {"instanceId": "s-y", "hostPort": "nowhere"})
+    message = {"generation": 3, "reset": False, "instances": [*bad, p.entry("reader", "draining")]}
+    p.play("discovery expect GET\ndiscovery send watch")
+    p.parties["discovery"].send(chunk(json.dumps(message) + "\n"))
+    p.play("wait 0.1\nclient send ask\nclient expect HTTP/1.1 503")
+    assert sum("entry not understood" in line for line in p.log.lines) == 4
--- a/yewhook/agent.py
+++ b/yewhook/agent.py
@@ -296,7 +296,7 @@
         self.instances = {spec.name: Instance(loop, spec, self._publish) for spec in fleet.instances}
         listener = listen(fleet.listen)
         self.port: int = listener.getsockname()[1]
-        self._acceptor = Acceptor(loop, listener, lambda: True, self._accepted)
+        self._acceptor = Acceptor(loop, listener, lambda: True, lambda: None, self._accepted)
         for instance in self.instances.values():
             instance.start()
         self._look()
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -14,6 +14,7 @@
 from ..config import Names
 from ..core.ending import Ending
 from ..core.router import Router
+from ..deadlines import Deadline
 from ..loop import Loop
 from . import http
 
@@ -21,6 +22,7 @@
 SLOW, CAUGHT_UP = 65536, 16384  # bytes not yet taken by a client: stop reading its stream, and go on
 STALLED = 10.0  # s in which a slow client takes nothing at all
 TRANSIT = 0.001  # s taken off a client's time for the way of its request and of our answer
+ROOM_STEP = 16  # idle connections closed at a time when sockets run out
 PIPELINE = 4  # requests that may wait on one connection behind the one in hand
 TOO_SLOW = 10.0  # s for a begun request to arrive whole
 STATUS = {Ending.TIMED_OUT: 504, Ending.UNSENT_IN_TIME: 504, None: 500}  # all others: 502
@@ -101,6 +103,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._head_size = 0
         self._opened = self._last = self._slow = False
+        self._timer: Deadline | None = None  # for the request that is being read
+        self.idle_since = front.loop.now
         self._taken_at = 0.0  # when a slow client last took something
         self._unsent = 0
         self.channel = Channel(front.loop, sock, self)
@@ -125,14 +129,13 @@
         self._next()
 
     def on_message_begin(self) -> None:
-        self.call = call = Call(began=self.front.loop.now)
+        call = self.call = Call(began=self.front.loop.now)
         self._head_size = 0
-        self.front.loop.after(TOO_SLOW, lambda: self._late(call))
+        self._timer = self.front.loop.deadlines.set(call.began + TOO_SLOW, self._late)
 
-    def _late(self, call: Call) -> None:
-        if self.call is call and not self.channel.closed:
-            self._reject(BadRequest(408, "the request took too long to arrive"))
-            self._next()
+    def _late(self) -> None:
+        self._reject(BadRequest(408, "the request took too long to arrive"))
+        self._next()
 
     def on_url(self, url: bytes) -> None:
         if self.call is not None:
@@ -163,6 +166,7 @@
         if (call := self.call) is None:
             return
         self.call = None
+        self.front.loop.deadlines.cancel(self._timer)
         call.method, call.keep_alive = self._parser.get_method(), self._parser.should_keep_alive()
         if len(self.waiting) >= PIPELINE:
             raise BadRequest(429, "too many requests at once on one connection")
@@ -170,6 +174,7 @@
 
     def _reject(self, error: BadRequest) -> None:
         self.call = None
+        self.front.loop.deadlines.cancel(self._timer)
         bad = Call(keep_alive=False, headers={"": str(error)}, method=b"!", target=str(error.status).encode())
         self.waiting.append(bad)
         self._last = True
@@ -264,6 +269,7 @@
 
     def _served(self) -> None:
         self.request_id, self.serving = "", None
+        self.idle_since = self.front.loop.now
         if self._last:
             self.front.forget(self)
             self.channel.finish()
@@ -277,6 +283,7 @@
 
     def lost(self, error: OSError | None) -> None:
         self.front.forget(self)
+        self.front.loop.deadlines.cancel(self._timer)
         if self.request_id:
             self.front.router.client_left(self.request_id)
 
@@ -295,8 +302,14 @@
     def forget(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
 
+    def make_room(self) -> None:
+        idle = sorted((c for c in self.connections if c.idle), key=lambda c: c.idle_since)
+        self._hang_up(idle[:ROOM_STEP])
+
     def stop_accepting(self) -> None:
-        """Close the connections on which nothing is asked."""
-        for connection in [c for c in self.connections if c.idle]:
+        self._hang_up([c for c in self.connections if c.idle])
+
+    def _hang_up(self, connections: list[ClientConnection]) -> None:
+        for connection in connections:
             self.forget(connection)
             connection.channel.finish()
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -14,13 +14,14 @@
 from ..channel import Channel
 from ..config import Address
 from ..core.ending import Ending
-from ..core.ports import Told
+from ..front import AttemptsOut
 from ..loop import Loop
 from ..pool import Pool
 from . import http
 from .clients import Call
 
 ANSWER_LIMIT = 64 * 1024  # bytes of an answer that is not a stream
+PASSED_ON = ("x-lane", "x-org", "x-entity", "x-labels", "x-resent")
 REPORT = "X-Pressure"
 REPORT_COMMENT = b": X-Pressure:"
 # Names under which a report may hold what the settings' columns name
@@ -159,7 +160,7 @@
     """One attempt at one worker, from its answer's head to its end."""
 
     def __init__(self, workers: HttpWorkers, request_id: str, attempt: int) -> None:
-        self.workers, self.request_id, self.attempt = workers, request_id, attempt
+        self.workers, self.request_id, self.number = workers, request_id, attempt
         self.connection: WorkerConnection | None = None
         self._status = 0
         self._headers: dict[str, str] = {}
@@ -168,6 +169,20 @@
         self._found = 0
         self._load: i.Load | None = None
 
+    def begin(self, address: Address, request: bytes) -> None:
+        self.connection = self.workers.pool.ask(address, self, request)
+
+    def give_up(self) -> bool:
+        if self.connection is None:
+            return False
+        written = self.connection.written
+        self.connection.close()
+        return written
+
+    def pause(self, paused: bool) -> None:
+        if self.connection is not None:
+            self.connection.channel.pause(paused)
+
     def begun(self, status: int, headers: dict[str, str]) -> None:
         self._status, self._headers = status, headers
         if REPORT.lower() in headers:
@@ -190,7 +205,7 @@
             return
         if b'"usage"' in event:
             self._found = cached(event) or self._found
-        self.workers.told.event(self.request_id, self.attempt, event)
+        self.workers.told.event(self.request_id, self.number, event)
 
     def whole(self) -> None:
         if rest := self._events.rest():
@@ -207,14 +222,10 @@
             ending = Ending.TURNED_AWAY
         else:
             ending = Ending.ERROR
-        self._end(ending)
+        self.workers.end(self, ending, self._found, self._load)
 
     def broken(self, ending: Ending) -> None:
-        self._end(ending)
-
-    def _end(self, ending: Ending) -> None:
-        if self.workers.forget(self):
-            self.workers.told.ended(self.request_id, self.attempt, ending, self._found, self._load)
+        self.workers.end(self, ending, self._found, self._load)
 
 
 def found(body: bytes) -> int:
@@ -233,11 +244,9 @@
         return 0
 
 
-class HttpWorkers:
+class HttpWorkers(AttemptsOut[AttemptExchange]):
     """The core's `Workers` over HTTP."""
 
-    told: Told
-
     def __init__(
         self,
         pool: WorkerPool,
@@ -245,14 +254,11 @@
         addresses: dict[int, Address],
         release: Callable[[str], None],
     ) -> None:
-        self.pool, self.columns, self.addresses = pool, columns, addresses
-        self._release = release
-        self._out: dict[tuple[str, int], AttemptExchange] = {}
+        super().__init__(pool.loop, addresses, release)
+        self.pool, self.columns = pool, columns
 
     def send(self, request_id: str, attempt: int, server: int, call: object, timeout: float) -> None:
         assert isinstance(call, Call)
-        exchange = AttemptExchange(self, request_id, attempt)
-        self._out[request_id, attempt] = exchange
         fields = {
             "Host": call.headers.get("host", "worker"),
             "X-Txn": request_id,
@@ -260,33 +266,8 @@
             "Content-Type": call.headers.get("content-type", "application/json"),
             "Content-Length": str(len(call.body)),
         }
-        for name in ("x-lane", "x-org", "x-entity", "x-labels", "x-resent"):
-            if name in call.headers:
-                fields[name] = call.headers[name]
+        fields |= {name: call.headers[name] for name in PASSED_ON if name in call.headers}
         start = f"{call.method.decode('latin-1')} {call.target.decode('latin-1')} HTTP/1.1"
-        try:
-            exchange.connection = self.pool.ask(
-                self.addresses[server], exchange, http.head(start, fields) + call.body
-            )
-        except (OSError, KeyError) as error:
-            self.pool.log("no connection to a worker", f"{server}: {error}")
-            exchange.broken(Ending.NO_SOCKET)
-
-    def abort(self, request_id: str, attempt: int) -> bool:
-        exchange = self._out.pop((request_id, attempt), None)
-        if exchange is None or exchange.connection is None:
-            return False
-        written = exchange.connection.written
-        exchange.connection.close()
-        return written
-
-    def release(self, request_id: str) -> None:
-        self._release(request_id)
-
-    def pause(self, request_id: str, attempt: int, paused: bool) -> None:
-        exchange = self._out.get((request_id, attempt))
-        if exchange is not None and exchange.connection is not None:
-            exchange.connection.channel.pause(paused)
-
-    def forget(self, exchange: AttemptExchange) -> bool:
-        return self._out.pop((exchange.request_id, exchange.attempt), None) is not None
+        request = http.head(start, fields) + call.body
+        exchange = AttemptExchange(self, request_id, attempt)
+        self.begin(exchange, server, lambda address: exchange.begin(address, request))
--- a/yewhook/registry.py
+++ b/yewhook/registry.py
@@ -7,7 +7,8 @@
 
 from hopshed import interface as i
 
-from .config import Address, Names, address
+from .config import Address, ConfigError, Names, address
+from .log import Log
 
 STATES = {
     "up": i.ServerState.RUNNING,
@@ -24,8 +25,9 @@
 class Registry:
     """Translates discovery's entries into the module's servers, and keeps their addresses."""
 
-    def __init__(self, names: Names, unix_offset: float) -> None:
+    def __init__(self, names: Names, unix_offset: float, log: Log) -> None:
         self._names, self._offset = names, unix_offset  # monotonic less Unix time
+        self.log = log
         self.addresses: dict[int, Address] = {}
         self.states: dict[int, i.ServerState] = {}
 
@@ -44,15 +46,18 @@
         )
 
     def read(self, message: dict[str, Any]) -> tuple[i.Server, ...]:
-        """The servers of a list or of changes. Raises ValueError, KeyError or TypeError."""
+        """The servers of a list or of changes; an entry that makes no sense must not hide the others."""
         servers = []
         for raw in message.get("instances") or []:
-            server = self.entry(raw)
-            if server.kind < 0:
-                continue  # a kind of machine that the settings don't know has no role here
-            if raw.get("hostPort"):
-                self.addresses[server.id] = address(raw["hostPort"], "hostPort")
-            servers.append(server)
+            try:
+                server = self.entry(raw)
+                if raw.get("hostPort"):
+                    self.addresses[server.id] = address(raw["hostPort"], "hostPort")
+            except (KeyError, TypeError, ValueError, AttributeError, ConfigError) as error:
+                self.log("entry not understood", f"{type(error).__name__} {error} in {raw}")
+                continue
+            if server.kind >= 0:  # a kind of machine that the settings don't know has no role here
+                servers.append(server)
         if message.get("reset"):
             named = {server.id for server in servers}
             self.states = {n: s for n, s in self.states.items() if n in named}
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -51,9 +51,11 @@
         loop: Loop,
         listener: socket.socket,
         room: Callable[[], bool],
+        make_room: Callable[[], None],
         accepted: Callable[[socket.socket], None],
     ) -> None:
-        self._loop, self._listener, self._room, self._accepted = loop, listener, room, accepted
+        self._loop, self._listener = loop, listener
+        self._room, self._make_room, self._accepted = room, make_room, accepted
         loop.watch(listener, selectors.EVENT_READ, self._accept)
 
     def _accept(self, mask: int) -> None:
@@ -62,6 +64,7 @@
                 # What waits stays in the kernel's queue: over its limit the process would be killed.
                 self._loop.log("too many sockets", f"{self._loop.sockets} open, accepting later")
                 self._loop.watch(self._listener, 0, self._accept)
+                self._make_room()
                 return self._loop.after(ACCEPT_AGAIN, self._go_on)
             try:
                 sock, _ = self._listener.accept()
--- a/yewhook/toolcalls/clients.py
+++ b/yewhook/toolcalls/clients.py
@@ -17,6 +17,7 @@
 from .endings import TO_CLIENT
 from .workers import Shown
 
+ROOM_STEP = 16  # idle connections closed at a time when sockets run out
 STALLED = 10.0  # s in which a client takes nothing of what is written to it
 
 
@@ -94,7 +95,7 @@
         self.front = front
         self.exchanges: dict[Id, Exchange] = {}
         self.peer = Peer(front.loop, self)
-        self.peer.up = True
+        self.peer.up, self.peer.idle_since = True, front.loop.now
         self.peer.channel = Channel(front.loop, sock, self.peer)
         self._slow_since: float | None = None
 
@@ -120,6 +121,7 @@
 
     def done(self, exchange: Exchange) -> None:
         self.exchanges.pop(exchange.asked, None)
+        self.peer.idle_since = self.front.loop.now
         if self.front.accepting_over and not self.exchanges:
             self.front.loop.after(0.0, self.peer.hang_up)
 
@@ -162,8 +164,15 @@
     def accepted(self, sock: socket.socket) -> None:
         self.connections.add(ClientConnection(self, sock))
 
+    def make_room(self) -> None:
+        idle = sorted(self._idle(), key=lambda connection: connection.peer.idle_since)
+        for connection in idle[:ROOM_STEP]:
+            connection.peer.hang_up()
+
     def stop_accepting(self) -> None:
-        """Hang up where nothing is open; the others follow with their last answer."""
         self.accepting_over = True
-        for connection in [c for c in self.connections if not c.exchanges]:
+        for connection in self._idle():
             connection.peer.hang_up()
+
+    def _idle(self) -> list[ClientConnection]:
+        return [connection for connection in self.connections if not connection.exchanges]
--- a/yewhook/toolcalls/workers.py
+++ b/yewhook/toolcalls/workers.py
@@ -10,7 +10,7 @@
 
 from ..config import Address
 from ..core.ending import Ending
-from ..core.ports import Told
+from ..front import AttemptsOut
 from ..jsonrpc import Code, Id, Late, Peer, RpcError
 from ..loop import Loop
 from ..releases import Done
@@ -105,16 +105,16 @@
     def _watch(self) -> None:
         """A running stream has no deadline, so a worker that falls silent in it is given up at some time."""
         if self.peer is None:
-            return
+            return None
         now, silence = self.workers.loop.now, self.workers.silence
         if self._calls:
             self._heard = now  # the tool's own deadline runs
         if now - self._heard >= silence:
             self.workers.loop.log("worker fell silent in a stream", self.request_id)
             self.give_up("silent")
-            self._end(Ending.WORKER_STALLED)
-            return
-        self.workers.loop.after(min(silence, max(0.01, self._heard + silence - now)), self._watch)
+            return self.workers.end(self, Ending.WORKER_STALLED)
+        wait = max(0.01, self._heard + silence - now)
+        return self.workers.loop.after(wait, self._watch)
 
     def slow(self, peer: Peer, slow: bool) -> None:
         """A worker reads what we write at its leisure."""
@@ -129,20 +129,16 @@
         self._drop_calls("the stream has ended")
         self.workers.pool.give_back(peer)
         if error is not None:
-            return self._end(of_worker(error))
+            return self.workers.end(self, of_worker(error))
         body = result if isinstance(result, dict) else {}
         ending = Ending.READ if body.get("read") is True else Ending.SERVED
         kept = body.get("cachedTokens")
         load = report(body.get("load"), self.workers.columns)
-        return self._end(ending, kept if isinstance(kept, int) else 0, load)
-
-    def _end(self, ending: Ending, kept: int = 0, load: i.Load | None = None) -> None:
-        if self.workers.forget(self):
-            self.workers.told.ended(self.request_id, self.number, ending, kept, load)
+        return self.workers.end(self, ending, kept if isinstance(kept, int) else 0, load)
 
     # ---- giving up ----
 
-    def give_up(self, reason: str) -> bool:
+    def give_up(self, reason: str = "no longer wanted") -> bool:
         """Cancel the attempt at the worker, and its calls at their tools; whether it had been written."""
         peer, self.peer = self.peer, None
         self._drop_calls(reason)
@@ -153,6 +149,10 @@
         self.workers.pool.hang_up(peer)
         return written
 
+    def pause(self, paused: bool) -> None:
+        if self.peer is not None:
+            self.peer.channel.pause(paused)
+
     def _drop_calls(self, reason: str) -> None:
         calls, self._calls = self._calls, {}
         for call in calls.values():
@@ -160,11 +160,9 @@
                 call.cancel(reason)
 
 
-class RpcWorkers:
+class RpcWorkers(AttemptsOut[WorkerAttempt]):
     """The core's `Workers` over JSON-RPC."""
 
-    told: Told
-
     def __init__(
         self,
         loop: Loop,
@@ -175,35 +173,14 @@
         release: Callable[[str], None],
         silence: float,
     ) -> None:
-        self.loop, self.pool, self.tools, self.columns = loop, pool, tools, columns
-        self.addresses, self.silence, self._release = addresses, silence, release
-        self._out: dict[tuple[str, int], WorkerAttempt] = {}
+        super().__init__(loop, addresses, release)
+        self.pool, self.tools, self.columns, self.silence = pool, tools, columns, silence
 
     def send(self, request_id: str, attempt: int, server: int, call: object, timeout: float) -> None:
         assert isinstance(call, dict)
-        out = self._out[request_id, attempt] = WorkerAttempt(self, request_id, attempt)
         params = call | {"requestId": request_id, "remainingMs": max(1, round(timeout * 1000))}
-        try:
-            out.begin(self.addresses[server], params)
-        except (OSError, KeyError) as error:
-            self.loop.log("no connection to a worker", f"{server}: {error}")
-            del self._out[request_id, attempt]
-            self.told.ended(request_id, attempt, Ending.NO_SOCKET)
-
-    def abort(self, request_id: str, attempt: int) -> bool:
-        out = self._out.pop((request_id, attempt), None)
-        return out is not None and out.give_up("no longer wanted")
-
-    def release(self, request_id: str) -> None:
-        self._release(request_id)
-
-    def pause(self, request_id: str, attempt: int, paused: bool) -> None:
-        out = self._out.get((request_id, attempt))
-        if out is not None and out.peer is not None:
-            out.peer.channel.pause(paused)
-
-    def forget(self, attempt: WorkerAttempt) -> bool:
-        return self._out.pop((attempt.request_id, attempt.number), None) is not None
+        out = WorkerAttempt(self, request_id, attempt)
+        self.begin(out, server, lambda address: out.begin(address, params))
 
 
 def let_go(pool: PeerPool, address: Address, request_id: str, done: Done) -> Callable[[], None]:
