Move streams and cancel waits at a server that cannot be reached

Cause: Controller._bad ejected with silent=False for every outcome, so Controller._eject moved nothing. UNREACHABLE in a row means cut off: it now counts as silent. Other failures keep their streams, as before.

--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -211,7 +211,7 @@
         elif ev.outcome is Outcome.TIMED_OUT and w.life > a.sent:
             self._learn_wait(w, ev.latency, now)  # slow, not silent: others of ours were answered meanwhile
         elif ev.outcome not in (Outcome.CANCELED, Outcome.NOT_SENT):
-            self._bad(w, now)
+            self._bad(w, now, ev.outcome is Outcome.UNREACHABLE)
         if ev.outcome is Outcome.CANCELED and not a.streaming:  # it would have waited longer still
             self._learn_wait(w, max(ev.latency, self._wait(w, now)), now)
         req.done = req.done or ev.closed
@@ -313,12 +313,12 @@
         w.life, w.trial, w.probe_fails = now, False, 0
         w.errors, w.ejections = w.errors * (1 - GAIN), 0 if now > w.ejected + EJECT_MAX else w.ejections
 
-    def _bad(self, w: Worker, now: float) -> None:
+    def _bad(self, w: Worker, now: float, cut_off: bool) -> None:
         """Guards against servers that fail fast, refuse connections or let attempts run out in silence, also
         broken links; it hurts when errors follow the request and not the server, which EJECT_CAP bounds."""
         w.errors += GAIN * (1.0 - w.errors)
         if w.trial or w.errors > ERROR_RATE:
-            self._eject(w, now, silent=False)
+            self._eject(w, now, silent=cut_off)  # what waits on one that cannot be reached stands still
 
     def _eject(self, w: Worker, now: float, silent: bool) -> None:
         peers = self._peers(w)
