Wait before a failed accept is tried again, and test what a kept connection must not do

Seen by reading: after a failed accept the listener stays readable, so the loop spun (Acceptor._accept).

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -385,3 +385,46 @@
     p.parties["discovery"].send(chunk(json.dumps(message) + "\n"))
     p.play("wait 0.1\nclient send ask\nclient expect HTTP/1.1 503")
     assert sum("entry not understood" in line for line in p.log.lines) == 4
+
+
+def test_a_kept_connection_that_its_worker_closed_is_not_used(p: Platform) -> None:
+    # A request written to it would end as a reset, and an unsafe one could not be sent again.
+    end = "writer send stream\nwriter send event text=a\nwriter send last\nwait 0.05\n"
+    p.play(begin("id=r1 lane=service-log") + end + "writer close\nreader close")
+    p.play(begin("id=r2 lane=service-log") + end)
+    assert [p.parties[name].connections for name in ("reader", "writer")] == [2, 2]
+
+
+def test_pipelined_requests_are_answered_one_after_the_other(p: Platform) -> None:
+    both = SAYINGS["get"](path="/healthz") + SAYINGS["get"](path="/nowhere") + ask()
+    p.parties["client"].send(both)
+    p.play("client expect 200 OK\nclient expect 404 Not Found\nreader expect POST")
+
+
+def test_a_body_split_over_reads_passes_on_unaltered(p: Platform) -> None:
+    whole = ask(body='{"a": "b",  "stream":true}')
+    for part in (whole[:40], whole[40:-5], whole[-5:]):
+        p.parties["client"].send(part)
+        p.wait(0.02)
+    p.play('reader expect {"a": "b",  "stream":true}')
+
+
+def test_an_accept_that_fails_is_tried_again_later(p: Platform, monkeypatch: pytest.MonkeyPatch) -> None:
+    # The listener stays readable, so trying at once kept the loop busy with nothing else.
+    class Failing:
+        tries = 0
+
+        def __getattr__(self, name: str) -> object:
+            return getattr(listener, name)
+
+        def accept(self) -> object:
+            self.tries += 1
+            raise OSError("no more files")
+
+    listener = p.front._acceptor._listener
+    failing = Failing()
+    monkeypatch.setattr(p.front._acceptor, "_listener", failing)
+    p.play("client send get path=/healthz\nwait 0.35")
+    assert 3 <= failing.tries <= 5
+    monkeypatch.setattr(p.front._acceptor, "_listener", listener)
+    p.play("wait 0.2\nclient expect 200 OK")
--- a/yewhook/agent.py
+++ b/yewhook/agent.py
@@ -312,6 +312,7 @@
         text = master_file(self.fleet.domain, self.fleet.service, _services(ready))
         path = self.fleet.records
         try:
+            path.parent.mkdir(parents=True, exist_ok=True)
             path.with_name(path.name + ".new").write_text(text)
             path.with_name(path.name + ".new").replace(path)
         except OSError as error:
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -61,20 +61,24 @@
     def _accept(self, mask: int) -> None:
         for _ in range(ACCEPT_AT_ONCE):
             if not self._room():
-                # What waits stays in the kernel's queue: over its limit the process would be killed.
                 self._loop.log("too many sockets", f"{self._loop.sockets} open, accepting later")
-                self._loop.watch(self._listener, 0, self._accept)
                 self._make_room()
-                return self._loop.after(ACCEPT_AGAIN, self._go_on)
+                return self._later()
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
                 return None
             except OSError as error:
-                return self._loop.log("accept failed", str(error))
+                self._loop.log("accept failed", str(error))
+                return self._later()
             self._accepted(sock)
         return None
 
+    def _later(self) -> None:
+        """Leave what waits in the kernel's queue for a while; tried at once, it would keep the loop busy."""
+        self._loop.watch(self._listener, 0, self._accept)
+        self._loop.after(ACCEPT_AGAIN, self._go_on)
+
     def _go_on(self) -> None:
         if self._listener.fileno() >= 0:
             self._loop.watch(self._listener, selectors.EVENT_READ, self._accept)
