Let what was sent arrive before a test's clock goes on

Seen: a scenario could move its clock past a time-out while bytes were still on loopback. Checked: the network tests pass with eight busy loops beside them on eight cores.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -24,6 +24,7 @@
 from yewhook.service import Service
 
 PATIENCE = 5.0  # s of real time after which an expectation counts as missed
+SETTLE = 4  # turns before a wait
 STEP = 0.01  # s of the router's time in each turn of a wait
 
 
@@ -131,9 +132,9 @@
         self.parties: dict[str, Party] = {}
         self.sayings = sayings
 
-    def turn(self, seconds: float = 0.0005) -> None:
+    def turn(self, seconds: float = 0.0005, longest: float = 0.0005) -> None:
         self.clock.now += seconds
-        while self.service.loop.run_turn(0.0005):
+        while self.service.loop.run_turn(longest):
             pass
         for party in list(self.parties.values()):
             party.poll()
@@ -147,6 +148,8 @@
             self.turn()
 
     def wait(self, seconds: float) -> None:
+        for _ in range(SETTLE):  # what has been sent arrives before the clock goes on
+            self.turn(0.0, 0.003)
         for _ in range(round(seconds / STEP)):
             self.turn(STEP)
 
