--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -44,6 +44,7 @@
     body: bytes = b""
     keep_alive: bool = True
     began: float = 0.0
+    rejected: BadRequest | None = None  # what is wrong with it, to be answered in its turn
 
 
 def seconds(text: str) -> float:
@@ -175,8 +176,7 @@
     def _reject(self, error: BadRequest) -> None:
         self.call = None
         self.front.loop.deadlines.cancel(self._timer)
-        bad = Call(keep_alive=False, headers={"": str(error)}, method=b"!", target=str(error.status).encode())
-        self.waiting.append(bad)
+        self.waiting.append(Call(keep_alive=False, rejected=error))
         self._last = True
 
     def _next(self) -> None:
@@ -184,8 +184,8 @@
         while self.serving is None and self.waiting and not self.channel.closed:
             call = self.serving = self.waiting.popleft()
             self._last = self._last or not call.keep_alive
-            if call.method == b"!":
-                self._answer(int(call.target), call.headers[""])
+            if call.rejected is not None:
+                self._answer(call.rejected.status, str(call.rejected))
             elif call.target.partition(b"?")[0] == b"/healthz":
                 draining = self.front.draining
                 self._answer(503 if draining else 200, "draining" if draining else "ok")
