Read TOML tables and accepted JSON-RPC peers in one place each

Seen on a second reading: the fleet file and the tool-calls file checked texts, numbers and unknown keys with copies of the same code (now config.Table); the agent and the tool-calls clients set up an accepted Peer by hand (now Peer.accepted); Fleet._read caught errors that Registry.read no longer raises; Router._settle asked what Router._let_go asks itself.

--- a/yewhook/agent.py
+++ b/yewhook/agent.py
@@ -8,7 +8,6 @@
 import socket
 import subprocess
 import sys
-import tomllib
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum
@@ -16,7 +15,7 @@
 from typing import Any
 
 from .channel import Channel
-from .config import Address, ConfigError, address
+from .config import Address, ConfigError, Table, address, toml
 from .config import read as read_config
 from .dnssd import ServiceInstance, master_file
 from .jsonrpc import Code, Id, Peer, RpcError, encode
@@ -77,53 +76,32 @@
     instances: tuple[Spec, ...]
 
 
-def _checked(table: Any, kind: str, path: Path) -> dict[str, Any]:
-    if not isinstance(table, dict):
-        raise ConfigError(f"{path}: expected a table [{kind}]")
-    if unknown := table.keys() - KEYS[kind]:
-        raise ConfigError(f"{path}: unknown key {sorted(unknown)[0]!r} in [{kind}]")
-    return table
-
-
-def _text(table: dict[str, Any], key: str, path: Path) -> str:
-    if not isinstance(table.get(key), str) or not table[key]:
-        raise ConfigError(f"{path}: {key} must be a text")
-    return str(table[key])
-
-
 def read(path: Path) -> FleetFile:
-    try:
-        raw = tomllib.loads(path.read_text())
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"{path}: {error}") from error
-    agent = _checked(raw.get("agent"), "agent", path)
-    place = address(_text(agent, "listen", path), f"{path}: listen")
+    raw = toml(path)
+    agent = Table.of(path, raw.get("agent"), KEYS["agent"], " in [agent]")
+    place = address(agent.text("listen"), f"{path}: listen")
     if not ipaddress.ip_address(place[0]).is_loopback:
         raise ConfigError(f"{path}: the agent listens on loopback only, not on {place[0]}")
-    grace = agent.get("grace_s", 20.0)
-    if isinstance(grace, bool) or not isinstance(grace, int | float) or grace <= 0:
-        raise ConfigError(f"{path}: grace_s must be a number above 0")
     tables = raw.get("instance") or []
-    specs = tuple(_spec(_checked(table, "instance", path), path) for table in tables)
+    specs = tuple(_spec(Table.of(path, table, KEYS["instance"], " in [[instance]]")) for table in tables)
     names = [spec.name for spec in specs]
     if not specs or len(set(names)) < len(names):
         raise ConfigError(f"{path}: expected [[instance]] tables, each with a name of its own")
-    records = path.parent / _text(agent, "records", path)
-    domain, service = _text(agent, "domain", path), _text(agent, "service", path)
-    return FleetFile(place, records, domain, service, float(grace), specs)
+    domain, service = agent.text("domain"), agent.text("service")
+    return FleetFile(place, agent.file("records"), domain, service, agent.positive("grace_s", 20.0), specs)
 
 
-def _spec(table: dict[str, Any], path: Path) -> Spec:
-    name = _text(table, "name", path)
-    config = path.parent / _text(table, "config", path) if "config" in table else None
-    toolcalls = path.parent / _text(table, "toolcalls", path) if "toolcalls" in table else None
+def _spec(table: Table) -> Spec:
+    name = table.text("name")
+    config = table.file("config") if "config" in table.raw else None
+    toolcalls = table.file("toolcalls") if "toolcalls" in table.raw else None
     fronts = {}
     if config is not None:
         fronts["platform"] = read_config({"PROXY_CONFIG": str(config)}).listen
     if toolcalls is not None:
         fronts["toolcalls"] = read_toolcalls(toolcalls).listen
     if not fronts:
-        raise ConfigError(f"{path}: instance {name!r} has neither a config nor a toolcalls file")
+        raise ConfigError(f"{table.path}: instance {name!r} has neither a config nor a toolcalls file")
     return Spec(name, config, toolcalls, fronts)
 
 
@@ -321,10 +299,7 @@
     # ---- what is asked ----
 
     def _accepted(self, sock: socket.socket) -> None:
-        peer = Peer(self.loop, self)
-        peer.up = True
-        peer.channel = Channel(self.loop, sock, peer)
-        self._peers.add(peer)
+        self._peers.add(Peer.accepted(self.loop, sock, self))
 
     def request(self, peer: Peer, request_id: Id, method: str, params: dict[str, Any]) -> None:
         if method == "agent/status":
--- a/yewhook/config.py
+++ b/yewhook/config.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+import tomllib
+from collections.abc import Mapping, Set
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -60,6 +61,44 @@
     return host, int(port)
 
 
+@dataclass(frozen=True, slots=True)
+class Table:
+    """A table of a TOML file, whose values are checked as they are taken out."""
+
+    path: Path
+    raw: dict[str, Any]
+
+    @classmethod
+    def of(cls, path: Path, raw: Any, keys: Set[str], where: str = "") -> Table:
+        if not isinstance(raw, dict):
+            raise ConfigError(f"{path}: expected a table{where}")
+        if unknown := raw.keys() - keys:
+            raise ConfigError(f"{path}: unknown key {sorted(unknown)[0]!r}{where}")
+        return cls(path, raw)
+
+    def text(self, key: str) -> str:
+        if not isinstance(self.raw.get(key), str) or not self.raw[key]:
+            raise ConfigError(f"{self.path}: {key} must be a text")
+        return str(self.raw[key])
+
+    def file(self, key: str) -> Path:
+        """A path, which starts from the file's folder."""
+        return self.path.parent / self.text(key)
+
+    def positive(self, key: str, default: float) -> float:
+        value = self.raw.get(key, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+            raise ConfigError(f"{self.path}: {key} must be a number above 0")
+        return float(value)
+
+
+def toml(path: Path) -> dict[str, Any]:
+    try:
+        return tomllib.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+
+
 def names(env: Mapping[str, Any]) -> Names:
     return Names(
         tuple(str(c["name"]) for c in env["classes"]),
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -318,8 +318,7 @@
             return
         self._deadlines.cancel(life.let_go)
         if life.stage is Stage.ENDED:
-            if life.may_hold:
-                self._let_go(life)
+            self._let_go(life)
             self.lives.pop(life.id, None)
         elif life.may_hold:
             at = self._clock() + LET_GO * self.settings.release_within
--- a/yewhook/jsonrpc.py
+++ b/yewhook/jsonrpc.py
@@ -4,6 +4,7 @@
 
 import itertools
 import json
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import IntEnum
@@ -116,6 +117,14 @@
         loop.after(timeout, peer._too_late)
         return peer
 
+    @classmethod
+    def accepted(cls, loop: Loop, sock: socket.socket, handler: Handler) -> Peer:
+        """One end of a connection that the other side has opened."""
+        peer = cls(loop, handler)
+        peer.up, peer.idle_since = True, loop.now
+        peer.channel = Channel(loop, sock, peer)
+        return peer
+
     def _too_late(self) -> None:
         if not self.up and not self.channel.closed:
             self.channel.abort()
--- a/yewhook/platform/discovery.py
+++ b/yewhook/platform/discovery.py
@@ -20,6 +20,7 @@
 AGAIN = (0.05, 1.0)  # s until the next try, doubling
 LINE_LIMIT = 4 * 1024 * 1024
 
+
 class Watch:
     def __init__(
         self,
--- a/yewhook/toolcalls/clients.py
+++ b/yewhook/toolcalls/clients.py
@@ -8,7 +8,6 @@
 
 from hopshed.interface import RequestArrived
 
-from ..channel import Channel
 from ..config import Names
 from ..core.ending import Ending
 from ..core.router import Router
@@ -94,9 +93,7 @@
     def __init__(self, front: ClientFront, sock: socket.socket) -> None:
         self.front = front
         self.exchanges: dict[Id, Exchange] = {}
-        self.peer = Peer(front.loop, self)
-        self.peer.up, self.peer.idle_since = True, front.loop.now
-        self.peer.channel = Channel(front.loop, sock, self.peer)
+        self.peer = Peer.accepted(front.loop, sock, self)
         self._slow_since: float | None = None
 
     def request(self, peer: Peer, request_id: Id, method: str, params: dict[str, Any]) -> None:
--- a/yewhook/toolcalls/config.py
+++ b/yewhook/toolcalls/config.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import json
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from hopshed.interface import Settings
 
-from ..config import Address, ConfigError, Names, address, translate
+from ..config import Address, ConfigError, Names, Table, address, toml, translate
 
 KEYS = {"listen", "records", "domain", "worker_service", "tool_service", "settings",
         "tool_deadline_s", "worker_silence_s", "connect_timeout_s", "idle_limit_s"}  # fmt: skip
@@ -32,37 +31,20 @@
 
 
 def read(path: Path) -> ToolCallsConfig:
-    try:
-        raw = tomllib.loads(path.read_text())
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"{path}: {error}") from error
-    if unknown := raw.keys() - KEYS:
-        raise ConfigError(f"{path}: unknown key {sorted(unknown)[0]!r}")
-
-    def text(key: str) -> str:
-        if not isinstance(raw.get(key), str) or not raw[key]:
-            raise ConfigError(f"{path}: {key} must be a text")
-        return str(raw[key])
-
-    def positive(key: str, default: float) -> float:
-        value = raw.get(key, default)
-        if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
-            raise ConfigError(f"{path}: {key} must be a number above 0")
-        return float(value)
-
-    settings, names = _settings(path.parent / text("settings"))
+    table = Table.of(path, toml(path), KEYS)
+    settings, names = _settings(table.file("settings"))
     return ToolCallsConfig(
-        listen=address(text("listen"), f"{path}: listen"),
-        records=path.parent / text("records"),
-        domain=text("domain").rstrip(".") + ".",
-        worker_service=text("worker_service"),
-        tool_service=text("tool_service"),
+        listen=address(table.text("listen"), f"{path}: listen"),
+        records=table.file("records"),
+        domain=table.text("domain").rstrip(".") + ".",
+        worker_service=table.text("worker_service"),
+        tool_service=table.text("tool_service"),
         settings=settings,
         names=names,
-        tool_deadline=positive("tool_deadline_s", 10.0),
-        worker_silence=positive("worker_silence_s", 30.0),
-        connect_timeout=positive("connect_timeout_s", 0.25),
-        idle_limit=positive("idle_limit_s", 30.0),
+        tool_deadline=table.positive("tool_deadline_s", 10.0),
+        worker_silence=table.positive("worker_silence_s", 30.0),
+        connect_timeout=table.positive("connect_timeout_s", 0.25),
+        idle_limit=table.positive("idle_limit_s", 30.0),
     )
 
 
--- a/yewhook/toolcalls/fleet.py
+++ b/yewhook/toolcalls/fleet.py
@@ -52,8 +52,4 @@
 
     def _read(self, kind: i.ListKind) -> None:
         entries = [entry(instance) for instance in self._records.browse(self._service)]
-        try:
-            servers = self._registry.read({"reset": True, "instances": entries})
-        except (KeyError, TypeError, ValueError) as error:
-            return self._loop.log("records not understood", f"{self._service}: {error}")
-        return self._listed(kind, servers)
+        self._listed(kind, self._registry.read({"reset": True, "instances": entries}))
