Take out a catch that never catches and a memory figure that nothing reads

Checked: a probe shows that httptools wraps what a callback raises, so ClientConnection.received never saw a bare BadRequest. The memory limit is the platform's to enforce; no code went by Limits.memory_mb.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -72,7 +72,7 @@
         self.parties = {name: Party() for name in [*fleet, "discovery"]}
         config = Config(
             "test", ("127.0.0.1", 0), self.parties["discovery"].address, 7, settings, names,
-            Limits(1024, 192), 0.25, 30.0,
+            Limits(1024), 0.25, 30.0,
             {"generation": 1, "reset": True, "instances": [self.entry(name) for name in fleet]},
         )  # fmt: skip
         self.front = PlatformFront(self.service.loop, config, Room(self.service.loop, config.limits))
--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -18,7 +18,7 @@
 from yewhook.toolcalls.front import ToolCallsFront
 
 DOMAIN = "fleet.test."
-LIMITS = Limits(1024, 192)
+LIMITS = Limits(1024)
 
 
 def line(**message: Any) -> bytes:
--- a/yewhook/cli.py
+++ b/yewhook/cli.py
@@ -11,7 +11,7 @@
 import typer
 
 from . import __version__
-from .config import MOST_MEMORY_MB, MOST_SOCKETS, Address, ConfigError, Limits, address
+from .config import MOST_SOCKETS, Address, ConfigError, Limits, address
 from .config import read as read_config
 from .jsonrpc import RpcError
 from .log import Log
@@ -37,7 +37,7 @@
     service.heed_signals()
     try:
         config = read_config(os.environ) if platform else None
-        limits = config.limits if config else Limits(MOST_SOCKETS, MOST_MEMORY_MB)
+        limits = config.limits if config else Limits(MOST_SOCKETS)
         room = Room(service.loop, limits)
         if config is not None:
             service.fronts.append(PlatformFront(service.loop, config, room))
--- a/yewhook/config.py
+++ b/yewhook/config.py
@@ -31,13 +31,12 @@
     columns: tuple[str, ...]  # of load reports
 
 
-MOST_SOCKETS, MOST_MEMORY_MB = 1024, 192  # whatever more the platform would allow
+MOST_SOCKETS = 1024  # whatever more the platform would allow
 
 
 @dataclass(frozen=True, slots=True)
 class Limits:
     sockets: int
-    memory_mb: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,10 +138,7 @@
             seed=int(str(raw.get("seed") or "0"), 16),
             settings=settings,
             names=known_names,
-            limits=Limits(
-                min(int(limits.get("sockets") or MOST_SOCKETS), MOST_SOCKETS),
-                min(int(limits.get("memory_mb") or MOST_MEMORY_MB), MOST_MEMORY_MB),
-            ),
+            limits=Limits(min(int(limits.get("sockets") or MOST_SOCKETS), MOST_SOCKETS)),
             connect_timeout=float(caps.get("connect-timeout-ms") or 250.0) / 1000.0,
             idle_limit=float(caps.get("conn-idle-ms") or 30000.0) / 1000.0,
             known=raw.get("known") or {},
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -121,8 +121,6 @@
             return  # whatever follows a request that ended the connection is not taken
         try:
             self._parser.feed_data(data)
-        except BadRequest as error:
-            self._reject(error)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             cause = error.__context__  # what a callback raised arrives wrapped
             known = isinstance(cause, BadRequest)
