Read the configuration anew at SIGHUP and move the watch to the new discovery

Checked: heed_signals names SIGTERM and SIGINT only, so SIGHUP had its default; the variable PROXY_DISCOVERY keeps the address of the start, so the file must win on a reload.

Now: Service.reload asks every front to read and check its files whole, and puts them in force together or not at all; the watch moves at once and asks the new address for its whole list while the old list serves; a watch without a first word is tried again after 1 s (was 4 s, the time in which a list counts as told). The tool-calls front moves to other records, and the agent starts, stops and restarts instances and passes SIGHUP on.

A test changed the fleet that all tests of its file share, so that later ones had a third worker nobody answered for and took seconds; each now has a copy.

--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -54,7 +54,8 @@
         self.log = KeptLog()
         self.service = Service(self.log)
         self.fleet = read(write_fleet(folder))
-        self.agent = Agent(self.service.loop, self.fleet, self.service.drain)
+        path = folder / "fleet.toml"
+        self.agent = Agent(self.service.loop, self.fleet, self.service.drain, lambda: read(path))
         self.service.fronts.append(self.agent)
         self.place = ("127.0.0.1", self.agent.port)
 
@@ -113,6 +114,23 @@
     assert not any("killed" in line for line in run.log.lines)
 
 
+def test_a_new_fleet_file_is_put_in_force(running: Running) -> None:
+    # SIGHUP ended the agent and left its routers behind; a bad file must change nothing.
+    run = running
+    run.until(lambda: run.states() == ["ready", "ready"])
+    kept = run.agent.instances["n0"].report()["pid"]
+    path = run.fleet.records.parent / "fleet.toml"
+    text = path.read_text()
+    path.write_text(text.replace("grace_s", "grace"))
+    run.service.reload()
+    assert any("reload refused" in line and "'grace'" in line for line in run.log.lines)
+    path.write_text(text.replace('"n1"', '"n2"').replace("routers.zone", "other.zone"))
+    run.service.reload()
+    run.until(lambda: run.states() == ["ready", "ready"] and set(run.agent.instances) == {"n0", "n2"})
+    assert run.agent.instances["n0"].report()["pid"] == kept
+    assert "n2-toolcalls" in (path.parent / "other.zone").read_text()
+
+
 def test_a_restart_waits_longer_each_time(running: Running) -> None:
     run = running
     waits = []
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,12 +4,13 @@
 
 import json
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 
 import pytest
 from scenario import Party, Play
 from settings import ENV
 
-from yewhook.config import Config, Limits, translate
+from yewhook.config import Config, ConfigError, Limits, translate
 from yewhook.platform.front import PlatformFront
 from yewhook.platform.http import EventSplitter
 from yewhook.service import Room
@@ -68,14 +69,15 @@
     def __init__(self, fleet: dict[str, str]) -> None:
         super().__init__(SAYINGS | {"list": self.listed})
         settings, names = translate(ENV)
-        self.fleet = fleet
+        self.fleet = dict(fleet)  # a test may add to it
         self.parties = {name: Party() for name in [*fleet, "discovery"]}
-        config = Config(
+        self.config = config = Config(
             "test", ("127.0.0.1", 0), self.parties["discovery"].address, 7, settings, names,
             Limits(1024), 0.25, 30.0,
             {"generation": 1, "reset": True, "instances": [self.entry(name) for name in fleet]},
         )  # fmt: skip
-        self.front = PlatformFront(self.service.loop, config, Room(self.service.loop, config.limits))
+        room = Room(self.service.loop, config.limits)
+        self.front = PlatformFront(self.service.loop, config, room, lambda: self.config)
         self.service.fronts.append(self.front)
         self.parties["client"] = Party(("127.0.0.1", self.front.port))
 
@@ -428,3 +430,35 @@
     assert 3 <= failing.tries <= 5
     monkeypatch.setattr(p.front._acceptor, "_listener", listener)
     p.play("wait 0.2\nclient expect 200 OK")
+
+
+def test_a_new_discovery_is_watched_and_the_old_list_serves_meanwhile(p: Platform) -> None:
+    # The watch stayed with the old address, which goes silent soon after the file names another one.
+    p.play("discovery expect GET /v1/servers?watch=1&after=1\ndiscovery send watch\nwait 0.1")
+    p.parties["other"] = Party()
+    p.config = replace(p.config, discovery=p.parties["other"].address)
+    p.service.reload()
+    assert any("reloaded: discovery is now at" in line for line in p.log.lines)
+    # The other agent may number its lists otherwise, so it is asked for all of its list.
+    p.play("discovery expect closed\nother expect GET /v1/servers?watch=1&after=0")
+    p.play("client send ask\nreader expect POST\nclient close")
+    p.play("other send watch\nother send list name=reader state=draining\nwait 0.1")
+    p.play("late send ask id=r2\nlate expect HTTP/1.1 503")
+
+
+def test_a_discovery_that_takes_connections_and_says_nothing_is_tried_again_soon(p: Platform) -> None:
+    # A list counts as told 4 s after the change, and waiting 4 s for the first word was too long.
+    p.play("discovery expect GET\nwait 1.5\ndiscovery expect GET\nwait 0.1")
+    assert p.parties["discovery"].connections == 2
+
+
+def test_a_bad_file_changes_nothing(p: Platform, monkeypatch: pytest.MonkeyPatch) -> None:
+    def bad() -> Config:
+        raise ConfigError("config.json: not JSON")
+
+    p.play("discovery expect GET\ndiscovery send watch\nwait 0.1")
+    monkeypatch.setattr(p.front, "_read_again", bad)
+    p.service.reload()
+    assert any("reload refused: config.json: not JSON" in line for line in p.log.lines)
+    p.play("discovery send list name=reader state=draining\nwait 0.1\nclient send ask")
+    p.play("client expect HTTP/1.1 503")
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -41,6 +41,28 @@
     assert "draining" in rest and "stopped" in rest and "Traceback" not in rest
 
 
+def test_sighup_reads_the_file_anew_and_never_ends_the_process(tmp_path: Path) -> None:
+    # SIGHUP had no handler and so ended the process. The variable is as old as it: the file wins.
+    path = config(tmp_path)
+    env = os.environ | {"PROXY_CONFIG": str(path), "PROXY_NAME": "n3", "PROXY_DISCOVERY": "127.0.0.1:1"}
+    command = [sys.executable, "-m", "yewhook", "serve"]
+    with subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True) as process:
+        assert process.stderr is not None
+
+        def told(what: str) -> bool:
+            return any(what in line for line in iter(process.stderr.readline, ""))  # type: ignore[union-attr]
+
+        assert told(" n3 serving: ")
+        path.write_text("{")
+        process.send_signal(signal.SIGHUP)
+        assert told(" n3 reload refused: ")
+        config(tmp_path, discovery="127.0.0.1:2")
+        process.send_signal(signal.SIGHUP)
+        assert told(" n3 reloaded: discovery is now at 127.0.0.1:2")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(timeout=20) == 0
+
+
 @pytest.mark.parametrize(
     ("changes", "complaint"),
     [
--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -67,7 +67,8 @@
             "tool_deadline_s = 2\nworker_silence_s = 5\n"
         )
         config = read(folder / "toolcalls.toml")
-        self.front = ToolCallsFront(self.service.loop, config, Room(self.service.loop, LIMITS), 7)
+        room, path = Room(self.service.loop, LIMITS), folder / "toolcalls.toml"
+        self.front = ToolCallsFront(self.service.loop, config, room, 7, lambda: read(path))
         self.service.fronts.append(self.front)
         self.parties["client"] = Party(("127.0.0.1", self.front.port))
 
@@ -294,6 +295,18 @@
     t.until(lambda: t.service.loop.stopped, "the end")
 
 
+def test_a_reload_moves_to_other_records(t: ToolCalls) -> None:
+    t.records = t.records.with_name("other.zone")
+    t.publish("writer", "tool")
+    file = t.records.with_name("toolcalls.toml")
+    file.write_text(file.read_text().replace("fleet.zone", "other.zone"))
+    t.service.reload()
+    t.play('client send ask\nclient expect "code":-32001')
+    file.write_text(file.read_text().replace("other.zone", "none.zone"))
+    t.service.reload()
+    assert any("reload refused" in line for line in t.log.lines)
+
+
 def test_a_worker_taken_from_the_records_gets_nothing_new(t: ToolCalls) -> None:
     t.publish("writer", "tool")
     t.play('wait 0.6\nclient send ask\nclient expect "code":-32001')
--- a/yewhook/agent.py
+++ b/yewhook/agent.py
@@ -5,6 +5,7 @@
 import ipaddress
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -158,6 +159,7 @@
         self._backoff = BACKOFF
         self._due = 0.0
         self._again = False  # start anew once it has stopped
+        self._tell = False  # to read its files anew, once it can be told
         self._probing: dict[str, bool] = {}
         self._probe_at, self._lost = 0.0, 0
 
@@ -201,6 +203,13 @@
             self._to(State.STOPPING)
         return None
 
+    def reload(self, spec: Spec) -> None:
+        """Go on as a new fleet file says: what it runs may have changed, or the files that this names."""
+        changed, self.spec = spec != self.spec, spec
+        if changed and self.running and self.state is not State.STOPPING:
+            self.stop(again=True)
+        self._tell = self.running and not changed
+
     def kill(self) -> None:
         if self._process is not None:
             self._loop.log("instance killed", f"{self.spec.name}: not finished within the grace")
@@ -249,6 +258,9 @@
         self._lost = 0 if well else self._lost + 1
         if well:
             self._to(State.READY)
+            if self._tell and self._process is not None:
+                self._tell = False
+                self._process.send_signal(signal.SIGHUP)
         elif self.state is State.READY and self._lost >= PROBES_LOST:
             self._loop.log("instance unresponsive", self.spec.name)
             self._to(State.UNRESPONSIVE)
@@ -267,8 +279,11 @@
 class Agent:
     """A `Front` of its process: it drains by draining its instances."""
 
-    def __init__(self, loop: Loop, fleet: FleetFile, stop: Callable[[], None]) -> None:
+    def __init__(
+        self, loop: Loop, fleet: FleetFile, stop: Callable[[], None], read_again: Callable[[], FleetFile]
+    ) -> None:
         self.loop, self.fleet, self.grace = loop, fleet, fleet.grace
+        self._read_again = read_again
         self._stop = stop
         self._peers: set[Peer] = set()
         self.instances = {spec.name: Instance(loop, spec, self._publish) for spec in fleet.instances}
@@ -282,6 +297,8 @@
     def _look(self) -> None:
         for instance in self.instances.values():
             instance.look()
+        known = {spec.name for spec in self.fleet.instances}
+        self.instances = {n: one for n, one in self.instances.items() if one.running or n in known}
         self.loop.after(POLL, self._look)
 
     def _publish(self) -> None:
@@ -330,6 +347,28 @@
     def slow(self, peer: Peer, slow: bool) -> None:
         """Reports are short."""
 
+    # ---- a new fleet file ----
+
+    def reload(self) -> Callable[[], str]:
+        fleet = self._read_again()
+
+        def put_in_force() -> str:
+            """All but where the agent listens."""
+            self.fleet, self.grace = fleet, fleet.grace
+            wanted = {spec.name: spec for spec in fleet.instances}
+            for name in self.instances.keys() - wanted.keys():
+                self.instances[name].stop()
+            for name, spec in wanted.items():
+                if name in self.instances:
+                    self.instances[name].reload(spec)
+                else:
+                    self.instances[name] = Instance(self.loop, spec, self._publish)
+                    self.instances[name].start()
+            self._publish()
+            return f"{len(wanted)} instances"
+
+        return put_in_force
+
     # ---- the end ----
 
     @property
--- a/yewhook/cli.py
+++ b/yewhook/cli.py
@@ -5,6 +5,7 @@
 import json
 import os
 import secrets
+from functools import partial
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -40,7 +41,8 @@
         limits = config.limits if config else Limits(MOST_SOCKETS)
         room = Room(service.loop, limits)
         if config is not None:
-            service.fronts.append(PlatformFront(service.loop, config, room))
+            again = partial(read_config, os.environ, again=True)
+            service.fronts.append(PlatformFront(service.loop, config, room, again))
         if toolcalls is not None:
             service.fronts.append(_toolcalls(service, toolcalls, room))
     except (ConfigError, OSError) as error:
@@ -52,14 +54,10 @@
 
 def _toolcalls(service: Service, path: Path, room: Room) -> Front:
     # Only this front needs a DNS library, and a router of the platform has little memory.
-    from .dnssd import RecordsError
     from .toolcalls.config import read
     from .toolcalls.front import ToolCallsFront
 
-    try:
-        return ToolCallsFront(service.loop, read(path), room, secrets.randbits(64))
-    except RecordsError as error:
-        raise ConfigError(str(error)) from error
+    return ToolCallsFront(service.loop, read(path), room, secrets.randbits(64), partial(read, path))
 
 
 @app.command()
@@ -121,7 +119,7 @@
     service = Service(Log("agent"))
     service.heed_signals()
     try:
-        runner = Agent(service.loop, read_fleet(fleet), service.drain)
+        runner = Agent(service.loop, read_fleet(fleet), service.drain, partial(read_fleet, fleet))
     except (ConfigError, OSError) as error:
         raise _complaint(error) from None
     service.fronts.append(runner)
--- a/yewhook/config.py
+++ b/yewhook/config.py
@@ -116,7 +116,9 @@
         raise ConfigError(f"settings: {type(error).__name__} {error}") from error
 
 
-def read(environ: Mapping[str, str]) -> Config:
+def read(environ: Mapping[str, str], again: bool = False) -> Config:
+    """The configuration; `again` = in a running process, where the file may name a newer discovery than the
+    environment, which is as old as the process."""
     path = environ.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG is not set: it names the JSON file with the configuration")
@@ -129,12 +131,14 @@
     env = raw["settings"]
     settings, known_names = translate(env)
     caps = env.get("caps") or {}
+    told = environ.get("PROXY_DISCOVERY")
+    discovery = (raw.get("discovery") or told) if again else (told or raw.get("discovery"))
     limits = raw.get("limits") or {}
     try:
         return Config(
             name=str(environ.get("PROXY_NAME") or raw.get("name") or "router"),
             listen=address(environ.get("PROXY_LISTEN") or raw.get("listen"), "PROXY_LISTEN"),
-            discovery=address(environ.get("PROXY_DISCOVERY") or raw.get("discovery"), "PROXY_DISCOVERY"),
+            discovery=address(discovery, "PROXY_DISCOVERY"),
             seed=int(str(raw.get("seed") or "0"), 16),
             settings=settings,
             names=known_names,
--- a/yewhook/front.py
+++ b/yewhook/front.py
@@ -116,6 +116,9 @@
     def busy(self) -> bool:
         return self.router.busy or self.releases.busy or bool(self._clients.connections)
 
+    def reload(self) -> Callable[[], str]:
+        raise NotImplementedError
+
     def drain(self) -> None:
         """Clients that are not told beforehand connect elsewhere when this end hangs up."""
 
--- a/yewhook/platform/discovery.py
+++ b/yewhook/platform/discovery.py
@@ -12,11 +12,13 @@
 
 from ..channel import Channel
 from ..config import Address
+from ..deadlines import Deadline
 from ..loop import Loop
 from ..registry import Registry
 from . import http
 
-SILENCE = 4.0  # s; an empty line comes every 2
+SILENCE, FIRST_WORD = 4.0, 1.0  # s; an empty line comes every 2, and the head at once
+LOOK_EVERY = 0.25  # s
 AGAIN = (0.05, 1.0)  # s until the next try, doubling
 LINE_LIMIT = 4 * 1024 * 1024
 
@@ -34,6 +36,14 @@
         self._registry, self._listed = registry, listed
         self._wait = AGAIN[0]
         self._channel: Channel | None = None
+        self._next: Deadline | None = None  # the next look at this connection, or the next one
+        self._connect()
+
+    def move(self, address: Address) -> None:
+        """Go on at another address. Its numbering may be its own, so it is asked for the whole list, and the
+        old list stays in use until that has come."""
+        self.close()
+        self._address, self._generation, self._wait = address, 0, AGAIN[0]
         self._connect()
 
     def _connect(self) -> None:
@@ -46,24 +56,24 @@
             return self._again(str(error))
         target = f"/v1/servers?watch=1&after={self._generation}"
         self._channel.send(http.head(f"GET {target} HTTP/1.1", {"Host": "discovery"}))
-        return self._check(self._channel)
+        return self._look_in(LOOK_EVERY, self._check)
+
+    def _look_in(self, seconds: float, look: Callable[[], None]) -> None:
+        self._next = self._loop.deadlines.set(self._loop.now + seconds, look)
 
-    def _check(self, channel: Channel) -> None:
-        if self._channel is not channel:
-            return
-        if self._loop.now - self._heard > SILENCE:
+    def _check(self) -> None:
+        if self._loop.now - self._heard > (SILENCE if self._status else FIRST_WORD):
             return self._again("silent")
-        self._loop.after(0.5, lambda: self._check(channel))
+        return self._look_in(LOOK_EVERY, self._check)
 
     def _again(self, why: str) -> None:
         self._loop.log("discovery watch lost", f"{why}; again in {self._wait:.2f} s")
-        if self._channel is not None:
-            self._channel.abort()
-            self._channel = None
-        self._loop.after(self._wait, self._connect)
+        self.close()
+        self._look_in(self._wait, self._connect)
         self._wait = min(2 * self._wait, AGAIN[1])
 
     def close(self) -> None:
+        self._loop.deadlines.cancel(self._next)
         if self._channel is not None:
             self._channel.abort()
             self._channel = None
--- a/yewhook/platform/front.py
+++ b/yewhook/platform/front.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from hopshed import interface as i
 
 from ..config import Config
@@ -15,7 +17,8 @@
 
 
 class PlatformFront(RouterFront):
-    def __init__(self, loop: Loop, config: Config, room: Room) -> None:
+    def __init__(self, loop: Loop, config: Config, room: Room, read_again: Callable[[], Config]) -> None:
+        self._config, self._read_again = config, read_again
         self.pool = pool = WorkerPool(loop, room.for_workers, config.connect_timeout, config.idle_limit)
         super().__init__(
             loop,
@@ -42,6 +45,19 @@
         self.pool.keep_only(self.registry.in_use())
         self.router.listed(kind, servers)
 
+    def reload(self) -> Callable[[], str]:
+        config = self._read_again()
+
+        def put_in_force() -> str:
+            """Only where discovery listens can change; all else is what the process was built with."""
+            old, self._config = self._config, config
+            if config.discovery == old.discovery:
+                return ""
+            self.watch.move(config.discovery)
+            return f"discovery is now at {config.discovery[0]}:{config.discovery[1]}"
+
+        return put_in_force
+
     def drain(self) -> None:
         self.clients.draining = True
 
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from .config import Address, Limits
+from .config import Address, ConfigError, Limits
 from .log import Log
 from .loop import Loop
 
@@ -92,6 +92,12 @@
 class Front(Protocol):
     grace: float  # s that what it has taken may need to end
 
+    def reload(self) -> Callable[[], str]:
+        """Read its configuration anew and check it; returns what puts it in force and says what changed.
+
+        Raises ConfigError, and then nothing has changed.
+        """
+
     @property
     def busy(self) -> bool:
         """Whether something that was taken is not finished."""
@@ -115,12 +121,12 @@
         self._wake: tuple[socket.socket, socket.socket] | None = None
 
     def heed_signals(self) -> None:
-        """Drain at SIGTERM and SIGINT; to be called before anything is taken."""
+        """Drain at SIGTERM and SIGINT, reload at SIGHUP; to be called before anything is taken."""
         wake_read, wake_write = self._wake = socket.socketpair()
         for end in (wake_read, wake_write):
             end.setblocking(False)
         signal.set_wakeup_fd(wake_write.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, lambda *_: None)
         self.loop.watch(wake_read, selectors.EVENT_READ, lambda _: self._signalled(wake_read))
 
@@ -132,9 +138,23 @@
         self.log("stopped")
 
     def _signalled(self, wake: socket.socket) -> None:
+        numbers = b""
         with contextlib.suppress(BlockingIOError):
-            wake.recv(64)
-        self.drain()
+            numbers = wake.recv(64)
+        if signal.SIGHUP in numbers:
+            self.reload()
+        if {signal.SIGTERM, signal.SIGINT} & set(numbers):
+            self.drain()
+
+    def reload(self) -> None:
+        """Put new configuration files in force: those of all fronts, or none where one is not good."""
+        try:
+            ready = [front.reload() for front in self.fronts]
+        except ConfigError as error:
+            self.log("reload refused", f"{error}; the configuration stays as it was")
+            return
+        changes = "; ".join(filter(None, [change() for change in ready]))
+        self.log("reloaded", changes or "nothing that can change while it runs has changed")
 
     def drain(self) -> None:
         if self.draining:
--- a/yewhook/toolcalls/fleet.py
+++ b/yewhook/toolcalls/fleet.py
@@ -42,6 +42,11 @@
         self._read(i.ListKind.SAVED)
         loop.after(LOOK_EVERY, self._look)
 
+    def move(self, records: Records, service: str) -> None:
+        """Go on with other records."""
+        self._records, self._service = records, service
+        self._read(i.ListKind.FULL)
+
     def _look(self) -> None:
         try:
             if self._records.refresh():
--- a/yewhook/toolcalls/front.py
+++ b/yewhook/toolcalls/front.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from ..dnssd import Records
+from collections.abc import Callable
+
+from ..config import ConfigError
+from ..dnssd import Records, RecordsError, ServiceInstance
 from ..front import RouterFront
 from ..loop import Loop
 from ..service import Room
@@ -15,8 +18,16 @@
 
 
 class ToolCallsFront(RouterFront):
-    def __init__(self, loop: Loop, config: ToolCallsConfig, room: Room, seed: int) -> None:
-        records = Records(config.records, config.domain)
+    def __init__(
+        self,
+        loop: Loop,
+        config: ToolCallsConfig,
+        room: Room,
+        seed: int,
+        read_again: Callable[[], ToolCallsConfig],
+    ) -> None:
+        self._config, self._read_again = config, read_again
+        self._records = _records(config)
         pool = PeerPool(loop, room.for_workers, config.connect_timeout, config.idle_limit)
         super().__init__(
             loop,
@@ -25,12 +36,36 @@
             lambda address, request_id, done: let_go(pool, address, request_id, done),
             pool.latest,
         )
-        tools = Tools(loop, pool, config.tool_deadline, lambda: records.browse(config.tool_service), seed)
+        self._tools = tools = Tools(loop, pool, config.tool_deadline, self._tool_servers, seed)
         addresses, release = self.registry.addresses, self.releases.release
-        workers = RpcWorkers(
+        self._workers = workers = RpcWorkers(
             loop, pool, tools, config.names.columns, addresses, release, config.worker_silence
         )
         self.route(workers, seed)
-        Fleet(loop, records, config.worker_service, self.registry, self.router.listed)
+        self._fleet = Fleet(loop, self._records, config.worker_service, self.registry, self.router.listed)
         self.clients = ClientFront(loop, self.router, config.names)
         self.open(self.clients, config.listen, room, "tool-calls")
+
+    def _tool_servers(self) -> list[ServiceInstance]:
+        return self._records.browse(self._config.tool_service)
+
+    def reload(self) -> Callable[[], str]:
+        config = self._read_again()
+        records = _records(config)
+
+        def put_in_force() -> str:
+            """Where the records are and how long is waited can change; the settings are built in."""
+            old, self._config = self._config, config
+            self._records = records
+            self._tools.deadline, self._workers.silence = config.tool_deadline, config.worker_silence
+            self._fleet.move(records, config.worker_service)
+            return f"records are now read from {config.records}" if config.records != old.records else ""
+
+        return put_in_force
+
+
+def _records(config: ToolCallsConfig) -> Records:
+    try:
+        return Records(config.records, config.domain)
+    except RecordsError as error:
+        raise ConfigError(str(error)) from error
