Take of a worker's or client's bytes only what belongs to a message, within limits

Probed with httptools alone: an informational answer completes the message, so the exchange ended before its answer came, or with a second answer's status in place of the first; on_header comes only with a whole line, so a head without end is counted by nobody; NaN, 400-digit numbers and depth get through or raise in json and float; '²' passes isdigit and not float.

Workers (platform/workers.py): 1xx answers are passed over; what follows a whole answer spoils the connection only; a head, a chunk or an event that has begun must end within 1 s and 32 or 64 KiB; the splitter is linear; a kept connection stands 30 ms before its next exchange, so that a second answer is not taken for that to the next request. reports.py reads reports for both fronts; what can't be read is missing. Clients (platform/clients.py): a request arrives whole within 2.2 s, the first one counted from the accept; a head without end, doubled fields, unprintable or boundless values get a 4xx; garbage or a crowd behind a request answers it at once instead of after its stream; nonsense is read from one connection every 0.5 s only; bodies in memory are limited by the configuration. Both fronts close idle connections in one place (front.py), after 2 s if room is short, and a third of the configured descriptors stays for workers. Timers go with their connections.

--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,137 @@
+"""Answers of workers with anything before, within or behind them."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+
+import pytest
+from scenario import Clock, KeptLog
+from test_platform import FLEET, Platform, answer, begin, chunk
+
+from hopshed.interface import Load
+from yewhook import reports
+from yewhook.core.ending import Ending
+from yewhook.loop import Loop
+from yewhook.platform.workers import WorkerConnection, WorkerPool
+
+
+@pytest.fixture
+def p() -> Iterator[Platform]:
+    platform = Platform(FLEET)
+    yield platform
+    platform.end()
+
+
+def fed(*parts: bytes) -> tuple[list[int], list[str], bool]:
+    """What an exchange hears of an answer in these reads: its statuses, its end, and if it is kept."""
+    loop = Loop(KeptLog(), Clock())
+    pool = WorkerPool(loop, lambda: True, 0.25, 30.0)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        connection = WorkerConnection(pool, listener.getsockname())
+        connection.connected()
+        heard: tuple[list[int], list[str]] = ([], [])
+
+        class Heard:
+            unfinished = False
+
+            def begun(self, status: int, headers: dict[str, str]) -> None:
+                heard[0].append(status)
+
+            def body(self, data: bytes) -> None:
+                heard[1].append(data.decode())
+
+            def whole(self) -> None:
+                heard[1].append("whole")
+
+            def broken(self, ending: Ending) -> None:
+                heard[1].append(ending.name)
+
+        connection.ask(Heard(), b"")
+        for part in parts:
+            connection.received(part)
+        kept = bool(pool.latest())
+        connection.close()
+    return *heard, kept
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+LAST = b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("parts", "statuses", "said", "kept"),
+    [
+        # An informational answer ended the exchange as an error, though the answer was still to come.
+        ([b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD + LAST], [200], ["whole"], True),
+        ([b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", HEAD, LAST], [200], ["whole"], True),
+        ([b"HTTP/1.1 101 Switching Protocols\r\n\r\n" + HEAD], [], ["GARBLED"], False),
+        # A second answer in the same read put its status in the place of the first one's.
+        ([HEAD + LAST + answer("404")], [200], ["whole"], False),
+        ([HEAD + LAST + b"noise"], [200], ["whole"], False),
+        ([answer("503", turned="1") + HEAD + chunk("x") + LAST], [503], ["whole"], False),
+        ([b"\x00\x01\x02"], [], ["GARBLED"], False),
+        ([b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20_000, b"y" * 20_000], [], ["GARBLED"], False),
+        ([HEAD + chunk("x") + b"zz\r\n"], [200], ["x", "GARBLED"], False),
+        ([HEAD + b"3\r\nabcdef\r\n"], [200], ["abc", "GARBLED"], False),
+        ([HEAD + b"FFFFFFFFFFFFFFFFF\r\n"], [200], ["GARBLED"], False),
+        ([HEAD + b"0\r\nX-Turned-Away: 1\r\n\r\n"], [200], ["whole"], True),
+    ],
+)
+def test_only_what_belongs_to_an_answer_is_taken_for_it(
+    parts: list[bytes], statuses: list[int], said: list[str], kept: bool
+) -> None:
+    assert fed(*parts) == (statuses, said, kept)
+
+
+@pytest.mark.parametrize("how", ["chunk_size text=c0000000", "chunk_size text=zz"])
+def test_a_stream_spoilt_midway_breaks_off_and_its_connection_is_not_kept(p: Platform, how: str) -> None:
+    # A chunk said to hold 3 GB was read on until half a megabyte had come.
+    p.play(begin() + f"writer send stream\nwriter send event text=a\nclient expect a\nwriter send {how}")
+    p.play("wait 1.1\nclient expect closed\nwriter expect closed")
+    assert "0\r\n\r\n" not in p.parties["client"].text
+
+
+def test_a_chunk_that_keeps_coming_is_cut_off_by_its_size(p: Platform) -> None:
+    p.play(begin() + "writer send stream\nwriter send event text=a\nclient expect a")
+    p.play("writer send chunk_size text=c0000000")
+    p.parties["writer"].send(b"x" * 200_000)
+    p.play("wait 0.2\nclient expect closed\nwriter expect closed")
+
+
+def test_a_spoilt_opening_may_have_run(p: Platform) -> None:
+    p.play(begin("lane=service-log") + "writer send raw text=noise\nclient expect HTTP/1.1 502\nwait 1")
+    assert p.parties["writer"].heard.count("POST /v1/chat") == 1
+
+
+def test_a_head_that_does_not_end_is_not_waited_for(p: Platform) -> None:
+    p.play(begin("lane=service-log"))
+    p.parties["writer"].send(b"HTTP/1.1 200 OK\r\nX: y")
+    p.play("wait 1.1\nclient expect HTTP/1.1 502")
+
+
+def test_a_second_answer_is_not_taken_for_that_to_the_next_request(p: Platform) -> None:
+    # It came just after the connection had been kept, and the next request was served with it.
+    p.play(begin("id=r1") + "writer send stream\nwriter send event text=a\nwriter send last\nclient expect a")
+    p.play("client expect 0\nclient send ask id=r2\nreader expect POST\nreader send read")
+    p.parties["writer"].send(HEAD + chunk('data: "stolen"\n\n') + LAST)
+    p.play("wait 0.05\nwriter expect X-Txn: r2\nwriter send stream\nwriter send event text=b")
+    p.play("client expect b")
+    assert "stolen" not in p.parties["client"].heard and p.parties["writer"].connections == 2
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["[" * 100_000, "{}", "[1]", '{"latency_ms":"9","x0":1,"x1":1}', '{"latency_ms":9,"x0":NaN,"x1":1}',
+     '{"latency_ms":9,"x0":1e999,"x1":1}', '{"latency_ms":9,"x0":-1,"x1":1}', "9" * 5000, '{"x0":true}',
+     '{"latency_ms":%s,"x0":1,"x1":1}' % ("9" * 400)],
+)  # fmt: skip
+def test_a_report_that_cannot_be_read_is_only_missing(text: str) -> None:
+    # Depth and infinities were exceptions, or figures that spoilt every average they entered.
+    assert reports.load(reports.parse(text), ("avg_ms", "x0", "x1")) is None
+    assert reports.count(reports.parse(text)) == 0
+
+
+def test_a_report_is_found_under_either_name() -> None:
+    load = reports.load(reports.parse('{"latency_ms":500,"x0":0.5}'), ("avg_ms", "x0", "x1"))
+    assert load == Load(service_time=0.5, memory_share=0.5)
--- a/yewhook/channel.py
+++ b/yewhook/channel.py
@@ -7,9 +7,11 @@
 import socket
 from typing import Protocol
 
+from .deadlines import Deadline
 from .loop import Loop
 
 READ_SIZE = 65536
+READ_OFF = 16  # reads a turn of what a peer still sends after our last word, which nobody needs
 FLUSH, LINGER = 10.0, 1.0  # s to write what is left, and then for the peer to close too
 
 
@@ -31,8 +33,11 @@
         self.closed = False
         self._sock, self._connecting = sock, connecting
         self._out = bytearray()
-        self._paused = self._finishing = self._unwritable = False
+        self.paused = self._finishing = self._unwritable = False
+        self._accepted = not connecting
+        self._timer: Deadline | None = None  # for the end of a connection that is being finished
         loop.sockets += 1
+        loop.accepted += self._accepted
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._watch()
@@ -71,16 +76,16 @@
             self._flush()
 
     def pause(self, paused: bool) -> None:
-        if self._paused != paused:
-            self._paused = paused
+        if self.paused != paused:
+            self.paused = paused
             self._watch()
 
     def finish(self) -> None:
         """Close once all is written and the peer has closed too, or after a while."""
         if self.closed or self._finishing:
             return
-        self._finishing, self._paused = True, False
-        self.loop.after(FLUSH, self.abort)
+        self._finishing, self.paused = True, False
+        self._abort_after(FLUSH)
         if not self._out:
             self._end_sending()
 
@@ -88,14 +93,21 @@
         """Close now; the owner hears nothing more."""
         if not self.closed:
             self.closed = True
+            self.loop.deadlines.cancel(self._timer)
             self.loop.watch(self._sock, 0, self._ready)
             self._sock.close()
+            self._out.clear()
             self.loop.sockets -= 1
+            self.loop.accepted -= self._accepted
+
+    def _abort_after(self, seconds: float) -> None:
+        self.loop.deadlines.cancel(self._timer)
+        self._timer = self.loop.deadlines.set(self.loop.now + seconds, self.abort)
 
     def _watch(self) -> None:
         if self.closed:
             return
-        read = 0 if self._paused or self._connecting else selectors.EVENT_READ
+        read = 0 if self.paused or self._connecting else selectors.EVENT_READ
         waits = self._connecting or (self._out and not self._unwritable)
         write = selectors.EVENT_WRITE if waits else 0
         self.loop.watch(self._sock, read | write, self._ready)
@@ -110,17 +122,20 @@
                 self._flush()
                 self._watch()
             return None
-        if mask & selectors.EVENT_READ and not self._receive():
-            return None
+        if mask & selectors.EVENT_READ:
+            reads = READ_OFF if self._finishing else 1
+            while reads and self._receive():
+                reads -= 1
         if mask & selectors.EVENT_WRITE and not self.closed and self._out:
             self._flush()
         return None
 
     def _receive(self) -> bool:
+        """Read once; whether there may be more."""
         try:
             data = self._sock.recv(READ_SIZE)
         except BlockingIOError:
-            return True
+            return False
         except OSError as error:
             self._lost(error)
             return False
@@ -129,7 +144,7 @@
             return False
         if not self._finishing:
             self.owner.received(data)
-        return not self.closed
+        return not self.closed and len(data) == READ_SIZE
 
     def _flush(self) -> None:
         if not self._out or self._unwritable:
@@ -140,7 +155,7 @@
             sent = 0
         except OSError:
             # What the peer sent before the break still counts: reading it finds the end, too.
-            self._unwritable, self._paused = True, False
+            self._unwritable, self.paused = True, False
             return self._watch()
         del self._out[:sent]
         self._watch()
@@ -151,7 +166,7 @@
         return self.owner.drained()
 
     def _end_sending(self) -> None:
-        self.loop.after(LINGER, self.abort)
+        self._abort_after(LINGER)
         try:
             self._sock.shutdown(socket.SHUT_WR)
         except OSError:
--- a/yewhook/cli.py
+++ b/yewhook/cli.py
@@ -12,7 +12,7 @@
 import typer
 
 from . import __version__
-from .config import MOST_SOCKETS, Address, ConfigError, Limits, address
+from .config import Address, ConfigError, Limits, address
 from .config import read as read_config
 from .jsonrpc import RpcError
 from .log import Log
@@ -38,7 +38,7 @@
     service.heed_signals()
     try:
         config = read_config(os.environ) if platform else None
-        limits = config.limits if config else Limits(MOST_SOCKETS)
+        limits = config.limits if config else Limits()
         room = Room(service.loop, limits)
         if config is not None:
             again = partial(read_config, os.environ, again=True)
--- a/yewhook/config.py
+++ b/yewhook/config.py
@@ -31,12 +31,13 @@
     columns: tuple[str, ...]  # of load reports
 
 
-MOST_SOCKETS = 1024  # whatever more the platform would allow
+MOST_SOCKETS, MOST_MEMORY_MB = 1024, 192  # whatever more the platform would allow
 
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    sockets: int
+    sockets: int = MOST_SOCKETS
+    memory: int = MOST_MEMORY_MB << 20  # bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,7 +143,10 @@
             seed=int(str(raw.get("seed") or "0"), 16),
             settings=settings,
             names=known_names,
-            limits=Limits(min(int(limits.get("sockets") or MOST_SOCKETS), MOST_SOCKETS)),
+            limits=Limits(
+                min(int(limits.get("sockets") or MOST_SOCKETS), MOST_SOCKETS),
+                min(int(limits.get("memory_mb") or MOST_MEMORY_MB), MOST_MEMORY_MB) << 20,
+            ),
             connect_timeout=float(caps.get("connect-timeout-ms") or 250.0) / 1000.0,
             idle_limit=float(caps.get("conn-idle-ms") or 30000.0) / 1000.0,
             known=raw.get("known") or {},
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -76,6 +76,13 @@
             self._facts.append(i.ClientGone(request_id))
         self._end(life, ending)
 
+    def give_up(self, request_id: str) -> None:
+        """Answer a request now, whatever the module would still have done for it."""
+        life = self.lives.get(request_id)
+        if life is not None and life.stage not in (Stage.STREAMING, Stage.ENDED):
+            self._facts.append(i.ClientGone(request_id))
+            self._decline(life, 0.0)
+
     def client_slow(self, request_id: str, slow: bool) -> None:
         life = self.lives.get(request_id)
         if life is not None and life.stage is Stage.STREAMING and life.out is not None:
--- a/yewhook/front.py
+++ b/yewhook/front.py
@@ -18,19 +18,53 @@
 from .releases import Ask, Releases
 from .service import Acceptor, Room, listen
 
+ROOM_STEP = 32  # idle connections closed at a time when sockets run out
+IDLE_LEAST = 2.0  # s that a connection is left open on which nothing is asked, however short room is
 
-class Clients(Protocol):
-    """The clients' connections of a front."""
 
-    connections: set[Any]
+class ClientConnection(Protocol):
+    @property
+    def idle_since(self) -> float: ...
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is asked on it, and nothing is on its way."""
+
+    def hang_up(self) -> None: ...
+
+
+K = TypeVar("K", bound=ClientConnection)
 
-    def accepted(self, sock: socket.socket) -> None: ...
+
+class ClientConnections(Generic[K]):
+    """The clients' connections of a front, and how those are closed on which nothing is asked."""
+
+    def __init__(self, loop: Loop, idle_most: float) -> None:
+        self.loop, self._idle_most = loop, idle_most
+        self.connections: set[K] = set()
+        self._sweep()
+
+    def accepted(self, sock: socket.socket) -> None:
+        raise NotImplementedError
 
     def make_room(self) -> None:
-        """Close connections on which nothing is asked, those that have been so for longest first."""
+        """Close idle connections, those that have been so for longest first."""
+        idle = sorted(self._idle(IDLE_LEAST), key=lambda connection: connection.idle_since)
+        for connection in idle[:ROOM_STEP]:
+            connection.hang_up()
 
     def stop_accepting(self) -> None:
-        """Close the connections on which nothing is asked; the others follow with their last answer."""
+        """Close the idle connections; the others follow with their last answer."""
+        for connection in self._idle(0.0):
+            connection.hang_up()
+
+    def _idle(self, least: float) -> list[K]:
+        return [c for c in self.connections if c.idle and self.loop.now - c.idle_since >= least]
+
+    def _sweep(self) -> None:
+        for connection in self._idle(self._idle_most):
+            connection.hang_up()
+        self.loop.after(1.0, self._sweep)
 
 
 class Out(Protocol):
@@ -104,7 +138,7 @@
         workers.told = self.router
         self.loop.deciders.append(self.router)
 
-    def open(self, clients: Clients, address: Address, room: Room, whose: str) -> None:
+    def open(self, clients: ClientConnections[Any], address: Address, room: Room, whose: str) -> None:
         """Begin to take clients."""
         self._clients = clients
         listener = listen(address)
--- a/yewhook/jsonrpc.py
+++ b/yewhook/jsonrpc.py
@@ -130,6 +130,11 @@
             self.channel.abort()
             self._end(True)
 
+    @property
+    def unfinished(self) -> bool:
+        """Whether a message of the peer's has begun and not ended."""
+        return bool(self._rest)
+
     @property
     def written(self) -> bool:
         return self.up and not self.channel.unsent
--- a/yewhook/loop.py
+++ b/yewhook/loop.py
@@ -30,6 +30,7 @@
         self.stopped = False
         self.now = clock()
         self.sockets = 0  # open ones that this process holds, as their owners count them
+        self.accepted = 0  # those of them that others have opened
         self._selector = selectors.DefaultSelector()
 
     def watch(self, sock: socket.socket, events: int, handler: Handler) -> None:
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import socket
 from collections import deque
 from dataclasses import dataclass, field
@@ -15,6 +16,7 @@
 from ..core.ending import Ending
 from ..core.router import Router
 from ..deadlines import Deadline
+from ..front import ClientConnections
 from ..loop import Loop
 from . import http
 
@@ -22,12 +24,19 @@
 SLOW, CAUGHT_UP = 65536, 16384  # bytes not yet taken by a client: stop reading its stream, and go on
 STALLED = 10.0  # s in which a slow client takes nothing at all
 TRANSIT = 0.001  # s taken off a client's time for the way of its request and of our answer
-ROOM_STEP = 16  # idle connections closed at a time when sockets run out
 PIPELINE = 4  # requests that may wait on one connection behind the one in hand
-TOO_SLOW = 10.0  # s for a begun request to arrive whole
+ARRIVE = 2.2  # s for a request to arrive whole; for a connection's first one from when it was accepted
+IDLE_MOST = 10.0  # s for which a connection is kept on which nothing is asked
+PENALTY = 0.5  # s in which a connection is not read again after a request that made no sense
+TOKENS_MOST = 1_000_000  # in a prompt, its opening or its answer; no body holds as many
+PATIENCE_MOST = 3600.0  # s that a client may say it waits
 STATUS = {Ending.TIMED_OUT: 504, Ending.UNSENT_IN_TIME: 504, None: 500}  # all others: 502
 
 
+# Fields that decide how a request is read or what becomes of it
+ONCE = {"host", "content-length", "transfer-encoding", "x-remaining", *http.PASSED_ON, "x-txn"}
+
+
 class BadRequest(Exception):
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
@@ -41,25 +50,29 @@
     method: bytes = b""
     target: bytes = b""
     headers: dict[str, str] = field(default_factory=dict)
-    body: bytes = b""
+    body: bytearray = field(default_factory=bytearray)
     keep_alive: bool = True
     began: float = 0.0
     rejected: BadRequest | None = None  # what is wrong with it, to be answered in its turn
 
 
+WORD = re.compile(r"[A-Za-z0-9_-]{1,64}")
+PLAIN = re.compile(r"[ -~]{0,1024}")  # what any worker can read in a head
+TIME = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,9})?)([mu])")
+COUNT = re.compile(r"[0-9]{1,9}")
+
+
 def seconds(text: str) -> float:
     """A time with its unit: `4800m` or `4800000u`."""
-    number, unit = text[:-1], text[-1:]
-    scale = {"m": 1e-3, "u": 1e-6}.get(unit)
-    if scale is None or not number.replace(".", "", 1).isdigit():
+    if (found := TIME.fullmatch(text)) is None:
         raise BadRequest(400, "X-Remaining: expected a number followed by m or u")
-    return float(number) * scale
+    return min(float(found[1]) * (1e-3 if found[2] == "m" else 1e-6), PATIENCE_MOST)
 
 
 def _count(labels: dict[str, str], name: str) -> float:
     text = labels.get(name, "0")
-    if not text.isdigit():
-        raise BadRequest(400, f"X-Labels: {name} must be a whole number")
+    if not COUNT.fullmatch(text) or int(text) > TOKENS_MOST:
+        raise BadRequest(400, f"X-Labels: {name} must be a whole number up to {TOKENS_MOST}")
     return float(text)
 
 
@@ -73,8 +86,10 @@
     """The module's view of a request."""
     h = call.headers
     request_id = h.get("x-txn", "")
-    if not request_id or not request_id.isalnum():
+    if not WORD.fullmatch(request_id):
         raise BadRequest(400, "X-Txn: missing or not a word")
+    if odd := next((name for name in ("host", *http.PASSED_ON) if not PLAIN.fullmatch(h.get(name, ""))), ""):
+        raise BadRequest(400, f"{odd}: too long, or with characters that are not printable ASCII")
     parts = (part.partition("=") for part in h.get("x-labels", "").split(",") if part)
     labels = {name.strip(): value.strip() for name, _, value in parts}
     left = seconds(h.get("x-remaining", "")) - (now - call.began) - TRANSIT
@@ -101,14 +116,15 @@
         self.waiting: deque[Call] = deque()
         self.serving: Call | None = None
         self.request_id = ""  # of the request that the core has in hand
-        self._parser = httptools.HttpRequestParser(self)
-        self._head_size = 0
-        self._opened = self._last = self._slow = False
-        self._timer: Deadline | None = None  # for the request that is being read
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self._head_size = self._unended = 0  # of what is parsed; of what is read and may not be
+        self._in_head = self._opened = self._last = self._slow = False
         self.idle_since = front.loop.now
         self._taken_at = 0.0  # when a slow client last took something
         self._unsent = 0
         self.channel = Channel(front.loop, sock, self)
+        self._timer: Deadline | None = None  # for the request that is being read, or is to come first
+        self._expect()
 
     @property
     def idle(self) -> bool:
@@ -117,24 +133,38 @@
     # ---- reading ----
 
     def received(self, data: bytes) -> None:
-        if self._last:
+        if self._last or self._parser is None:
             return  # whatever follows a request that ended the connection is not taken
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            cause = error.__context__  # what a callback raised arrives wrapped
-            known = isinstance(cause, BadRequest)
-            self._reject(cause if known else BadRequest(400, "not HTTP/1.1"))  # type: ignore[arg-type]
+            self._unended = self._unended + len(data) if self._in_head else 0
+            if self._unended > http.HEAD_LIMIT:  # the parser keeps what has no end yet
+                raise BadRequest(431, "the head is too large")
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, BadRequest) as error:
+            cause = error if isinstance(error, BadRequest) else error.__context__  # a callback's is wrapped
+            self._reject(cause if isinstance(cause, BadRequest) else BadRequest(400, "not HTTP/1.1"))
         self._next()
 
-    def on_message_begin(self) -> None:
-        call = self.call = Call(began=self.front.loop.now)
-        self._head_size = 0
-        self._timer = self.front.loop.deadlines.set(call.began + TOO_SLOW, self._late)
+    def _expect(self) -> None:
+        """A request is to arrive whole within a while from now."""
+        self._no_timer()
+        self._timer = self.front.loop.deadlines.set(self.front.loop.now + ARRIVE, self._late)
+
+    def _no_timer(self) -> None:
+        self.front.loop.deadlines.cancel(self._timer)
+        self._timer = None
 
     def _late(self) -> None:
+        if self.call is None:
+            return self.hang_up()  # nothing has been asked on it
         self._reject(BadRequest(408, "the request took too long to arrive"))
-        self._next()
+        return self._next()
+
+    def on_message_begin(self) -> None:
+        self.call = Call(began=self.front.loop.now)
+        self._head_size, self._in_head = 0, True
+        if self._timer is None:
+            self._expect()
 
     def on_url(self, url: bytes) -> None:
         if self.call is not None:
@@ -142,9 +172,15 @@
             self._grow(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self.call is not None:
-            self._grow(len(name) + len(value))
-            self.call.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        if self.call is None:
+            return
+        if not self._in_head:
+            raise BadRequest(400, "fields behind the body")
+        self._grow(len(name) + len(value))
+        field = name.decode("latin-1").lower()
+        if field in self.call.headers and field in ONCE:
+            raise BadRequest(400, f"{field}: more than once")
+        self.call.headers[field] = value.decode("latin-1")
 
     def _grow(self, size: int) -> None:
         self._head_size += size
@@ -152,30 +188,49 @@
             raise BadRequest(431, "the head is too large")
 
     def on_headers_complete(self) -> None:
-        if self.call is not None and int(self.call.headers.get("content-length") or 0) > http.BODY_LIMIT:
+        self._in_head = False
+        if self.call is None or self._parser is None:
+            return
+        # The parser refuses lengths that are no number, doubled, or beside a Transfer-Encoding.
+        version, coding = self._parser.get_http_version(), self.call.headers.get("transfer-encoding")
+        if version not in ("1.0", "1.1") or (coding and (version, coding.lower()) != ("1.1", "chunked")):
+            raise BadRequest(400, "not HTTP/1.1, or a Transfer-Encoding other than chunked")
+        if int(self.call.headers.get("content-length") or 0) > http.BODY_LIMIT:
             raise BadRequest(413, "the body is too large")
 
     def on_body(self, body: bytes) -> None:
-        if self.call is not None:
-            self.call.body += body
-            if len(self.call.body) > http.BODY_LIMIT:
-                raise BadRequest(413, "the body is too large")
+        if self.call is None:
+            return
+        self.call.body += body
+        self.front.held += len(body)
+        if len(self.call.body) > http.BODY_LIMIT:
+            raise BadRequest(413, "the body is too large")
+        if self.front.held > self.front.held_most:
+            raise BadRequest(503, "too many bodies at once")
 
     def on_message_complete(self) -> None:
-        if (call := self.call) is None:
+        if (call := self.call) is None or self._parser is None:
             return
         self.call = None
-        self.front.loop.deadlines.cancel(self._timer)
+        self._no_timer()
         call.method, call.keep_alive = self._parser.get_method(), self._parser.should_keep_alive()
-        if len(self.waiting) >= PIPELINE:
-            raise BadRequest(429, "too many requests at once on one connection")
         self.waiting.append(call)
+        if len(self.waiting) > PIPELINE + (self.serving is None):
+            raise BadRequest(400, "too many requests at once on one connection")
 
     def _reject(self, error: BadRequest) -> None:
+        """Answer what can't be taken and hang up. An error is owed soon, so what came before it on the same
+        connection and would take its time is refused, too."""
+        self._no_timer()
+        self.front.log("bad request", str(error))
+        for call in self.waiting:
+            call.rejected = BadRequest(503, "not served, for what follows on the connection makes no sense")
+        self.front.held -= len(self.call.body) if self.call is not None else 0
         self.call = None
-        self.front.loop.deadlines.cancel(self._timer)
-        self.waiting.append(Call(keep_alive=False, rejected=error))
+        self.waiting.append(Call(rejected=error))
         self._last = True
+        if not self._opened:
+            self.front.router.give_up(self.request_id)
 
     def _next(self) -> None:
         """Take up the next request, one at a time."""
@@ -198,14 +253,28 @@
         try:
             arrived = understand(call, self.front.names, self.front.loop.now)
         except BadRequest as error:
-            self.front.log("bad request", str(error))
-            return self._answer(error.status, str(error))
+            return self._turn_back(error)
         self.request_id, self._opened, self._slow = arrived.id, False, False
         if not self.front.router.accept(arrived, self, call):
             self.request_id = ""
-            return self._answer(400, "X-Txn: a request with this id is open")
+            return self._turn_back(BadRequest(400, "X-Txn: a request with this id is open"))
         return None
 
+    def _turn_back(self, error: BadRequest) -> None:
+        """Some clients send the same again at once, and all the others would wait for that."""
+        self.front.log("bad request", str(error))
+        self._answer(error.status, str(error))
+        if not self.channel.closed and not self._last:
+            self.channel.pause(True)
+            self._no_timer()
+            self._timer = self.front.loop.deadlines.set(self.front.loop.now + PENALTY, self._read_on)
+
+    def _read_on(self) -> None:
+        self._timer = None
+        if self.call is not None:
+            self._expect()
+        self.channel.pause(False)
+
     # ---- answering ----
 
     def pass_on(self, event: object) -> None:
@@ -231,7 +300,7 @@
         if self.front.loop.now - self._taken_at > STALLED:
             self.front.log("client stalled", request_id)
             self.front.router.client_left(request_id, Ending.CLIENT_STALLED)
-            self.front.forget(self)
+            self._gone()
             return self.channel.abort()
         return self.front.loop.after(0.25, lambda: self._check_stall(request_id))
 
@@ -247,8 +316,7 @@
     def break_off(self, ending: Ending) -> None:
         self.front.log("stream broken off", f"{self.request_id} {ending.name.lower()}")
         self.request_id = ""
-        self.front.forget(self)
-        self.channel.finish()
+        self.hang_up()
 
     def refuse(self, retry_after: float) -> None:
         advice = {"Retry-After": f"{retry_after:.3f}"} if retry_after > 0 else {}
@@ -259,18 +327,19 @@
 
     def _ending_field(self) -> dict[str, str]:
         self._last = self._last or self.front.draining
-        return {"Connection": "close"} if self._last else {}
+        return {"Connection": "close"} if self._last and not self.waiting else {}
 
     def _answer(self, status: int, text: str, headers: dict[str, str] | None = None) -> None:
         self.channel.send(http.answer(status, f"{text}\n".encode(), (headers or {}) | self._ending_field()))
         self._served()
 
     def _served(self) -> None:
+        if self.serving is not None:
+            self.front.held -= len(self.serving.body)
         self.request_id, self.serving = "", None
         self.idle_since = self.front.loop.now
-        if self._last:
-            self.front.forget(self)
-            self.channel.finish()
+        if self._last and not self.waiting:
+            self.hang_up()
         elif self.waiting:
             self.front.loop.after(0.0, self._next)
 
@@ -280,34 +349,32 @@
         """Accepted connections are up from the start."""
 
     def lost(self, error: OSError | None) -> None:
-        self.front.forget(self)
-        self.front.loop.deadlines.cancel(self._timer)
+        self._gone()
         if self.request_id:
             self.front.router.client_left(self.request_id)
 
+    def hang_up(self) -> None:
+        """Write what is left and close."""
+        self._gone()
+        self.channel.finish()
+
+    def _gone(self) -> None:
+        self._no_timer()
+        self.front.connections.discard(self)
+        for call in filter(None, [self.call, self.serving, *self.waiting]):
+            self.front.held -= len(call.body)
+        self.call = self.serving = self._parser = None  # the parser knows this object, too
+        self.waiting.clear()
 
-class ClientFront:
+
+class ClientFront(ClientConnections[ClientConnection]):
     """The clients' connections. `draining` begins some time before `stop_accepting`."""
 
-    def __init__(self, loop: Loop, router: Router, names: Names) -> None:
-        self.loop, self.router, self.names, self.log = loop, router, names, loop.log
+    def __init__(self, loop: Loop, router: Router, names: Names, held_most: int) -> None:
+        super().__init__(loop, IDLE_MOST)
+        self.router, self.names, self.log = router, names, loop.log
         self.draining = False
-        self.connections: set[ClientConnection] = set()
+        self.held, self.held_most = 0, held_most  # bytes of bodies in memory
 
     def accepted(self, sock: socket.socket) -> None:
         self.connections.add(ClientConnection(self, sock))
-
-    def forget(self, connection: ClientConnection) -> None:
-        self.connections.discard(connection)
-
-    def make_room(self) -> None:
-        idle = sorted((c for c in self.connections if c.idle), key=lambda c: c.idle_since)
-        self._hang_up(idle[:ROOM_STEP])
-
-    def stop_accepting(self) -> None:
-        self._hang_up([c for c in self.connections if c.idle])
-
-    def _hang_up(self, connections: list[ClientConnection]) -> None:
-        for connection in connections:
-            self.forget(connection)
-            connection.channel.finish()
--- a/yewhook/platform/front.py
+++ b/yewhook/platform/front.py
@@ -36,7 +36,7 @@
             loop.log("known list not understood", str(error))
             known = ()
         self.router.listed(i.ListKind.SAVED, known)
-        self.clients = ClientFront(loop, self.router, config.names)
+        self.clients = ClientFront(loop, self.router, config.names, room.for_bodies)
         self.open(self.clients, config.listen, room, "the platform's")
         generation = int(config.known.get("generation") or 0)
         self.watch = Watch(loop, config.discovery, generation, self.registry, self._listed)
--- a/yewhook/platform/http.py
+++ b/yewhook/platform/http.py
@@ -10,9 +10,11 @@
     431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
     503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
+# Fields of a client's request that workers are told, besides its id and its time
+PASSED_ON = ("x-lane", "x-org", "x-entity", "x-labels", "x-resent", "content-type")
 BODY_LIMIT = 256 * 1024
 HEAD_LIMIT = 32 * 1024
-EVENT_LIMIT = 512 * 1024
+EVENT_LIMIT = 64 * 1024  # a worker sends an event every few tokens
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -36,20 +38,27 @@
     END = re.compile(rb"\r?\n\r?\n")
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
+
+    @property
+    def unfinished(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return bool(self._rest)
 
     def feed(self, data: bytes) -> list[bytes]:
         """The events that are whole now, each with its blank line. ValueError if one has no end."""
-        text, begin, events = self._rest + data, 0, []
-        for end in self.END.finditer(text):
-            events.append(text[begin : end.end()])
-            begin = end.end()
-        self._rest = text[begin:]
+        looked = max(0, len(self._rest) - 3)  # a blank line may stand across two reads
+        self._rest += data
+        ends = [found.end() for found in self.END.finditer(self._rest, looked)]
+        events = [bytes(self._rest[begin:end]) for begin, end in zip([0, *ends], ends, strict=False)]
+        if ends:
+            del self._rest[: ends[-1]]
         if len(self._rest) > EVENT_LIMIT:
             raise ValueError("an event without end")
         return events
 
     def rest(self) -> bytes:
         """What stands after the last blank line, once the stream has ended."""
-        rest, self._rest = self._rest, b""
+        rest = bytes(self._rest)
+        self._rest.clear()
         return rest
--- a/yewhook/platform/reservations.py
+++ b/yewhook/platform/reservations.py
@@ -14,6 +14,8 @@
 class _Delete:
     """The exchange of one DELETE."""
 
+    unfinished = False
+
     def __init__(self, done: Done) -> None:
         self._done, self._status = done, 0
 
--- a/yewhook/pool.py
+++ b/yewhook/pool.py
@@ -25,9 +25,16 @@
 
 class Pool(Generic[C]):
     def __init__(
-        self, loop: Loop, room: Callable[[], bool], idle_limit: float, connect: Callable[[Address], C]
+        self,
+        loop: Loop,
+        room: Callable[[], bool],
+        idle_limit: float,
+        connect: Callable[[Address], C],
+        rest: float = 0.0,
     ) -> None:
-        self.loop = loop
+        """`rest` = s that a kept connection stands before it is used again: what the other side sends beyond
+        its answer shows in them, and is not taken for the next one."""
+        self.loop, self._rest = loop, rest
         self._room, self._keep_for, self._connect = room, idle_limit * IDLE_PART, connect
         self._idle: dict[Address, list[C]] = {}
         self._sweep()
@@ -37,9 +44,10 @@
 
         Raises OSError where none can be opened.
         """
-        idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop()
+        rested = [c for c in self._idle.get(address, ()) if self.loop.now - c.idle_since >= self._rest]
+        while rested:
+            connection = rested.pop()
+            self.forget(connection)
             if not connection.channel.closed and not connection.channel.stale:
                 return connection
             connection.close()
@@ -56,10 +64,12 @@
         idle = self._idle.get(connection.address, [])
         if connection in idle:
             idle.remove(connection)
+            if not idle:
+                del self._idle[connection.address]
 
     def latest(self) -> list[Address]:
         """Addresses with a kept connection, the one last used first: those servers live."""
-        youngest = {address: idle[-1].idle_since for address, idle in self._idle.items() if idle}
+        youngest = {address: idle[-1].idle_since for address, idle in self._idle.items()}
         return sorted(youngest, key=lambda address: youngest[address], reverse=True)
 
     def keep_only(self, addresses: set[Address]) -> None:
@@ -78,9 +88,9 @@
 
     def _sweep(self) -> None:
         """A server closes what stands idle; a request that crosses this is lost, so this side goes first."""
-        for address, idle in self._idle.items():
-            old = [c for c in idle if self.loop.now - c.idle_since > self._keep_for]
-            self._idle[address] = [c for c in idle if c not in old]
-            for connection in old:
+        kept = [c for idle in self._idle.values() for c in idle]
+        for connection in kept:
+            if self.loop.now - connection.idle_since > self._keep_for:
+                self.forget(connection)
                 connection.close()
         self.loop.after(min(1.0, self._keep_for / 4), self._sweep)
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -14,10 +14,12 @@
 from .log import Log
 from .loop import Loop
 
-SPARE_SOCKETS = 64  # of the limit kept free of clients; half of them of workers, too, for discovery and files
+OWN_FILES = 16  # of the limit on descriptors: standard streams, listeners, the selector, the wake-up pair
+WORKERS_PART = 3  # one part in so many is kept free of clients, for what they ask for
+BODIES_PART = 8  # one part in so many of the memory may hold bodies of requests
 KEEP_ACCEPTING = 0.5  # s after SIGTERM in which new connections still arrive
 LAST_MOMENT = 0.3  # s before the end of the grace at which streams that still run are broken off
-ACCEPT_AT_ONCE, ACCEPT_AGAIN = 64, 0.1  # connections a turn; s until a full process tries again
+ACCEPT_AT_ONCE, ACCEPT_AGAIN = 64, 0.05  # connections a turn; s until a full process tries again
 GRACE_LEAST = 3.0  # s; the grace is the longest that a front names, or this
 
 
@@ -31,16 +33,18 @@
 
 
 class Room:
-    """How many more sockets may be opened: clients leave some for what they ask for."""
+    """What may still be opened or held: clients leave some sockets for what they ask for."""
 
     def __init__(self, loop: Loop, limits: Limits) -> None:
-        self._loop, self._most = loop, limits.sockets
+        self._loop, self._most = loop, limits.sockets - OWN_FILES
+        self._clients = self._most - limits.sockets // WORKERS_PART
+        self.for_bodies = limits.memory // BODIES_PART  # bytes
 
     def for_clients(self) -> bool:
-        return self._loop.sockets < self._most - SPARE_SOCKETS
+        return self._loop.accepted < self._clients and self.for_workers()
 
     def for_workers(self) -> bool:
-        return self._loop.sockets < self._most - SPARE_SOCKETS // 2
+        return self._loop.sockets < self._most
 
 
 class Acceptor:
--- a/yewhook/toolcalls/clients.py
+++ b/yewhook/toolcalls/clients.py
@@ -11,12 +11,13 @@
 from ..config import Names
 from ..core.ending import Ending
 from ..core.router import Router
+from ..front import ClientConnections
 from ..jsonrpc import Code, Id, Peer, RpcError
 from ..loop import Loop
 from .endings import TO_CLIENT
 from .workers import Shown
 
-ROOM_STEP = 16  # idle connections closed at a time when sockets run out
+IDLE_MOST = 60.0  # s for which a connection is kept on which nothing is asked
 STALLED = 10.0  # s in which a client takes nothing of what is written to it
 
 
@@ -96,6 +97,17 @@
         self.peer = Peer.accepted(front.loop, sock, self)
         self._slow_since: float | None = None
 
+    @property
+    def idle(self) -> bool:
+        return not self.exchanges and not self.peer.unfinished
+
+    @property
+    def idle_since(self) -> float:
+        return self.peer.idle_since
+
+    def hang_up(self) -> None:
+        self.peer.hang_up()
+
     def request(self, peer: Peer, request_id: Id, method: str, params: dict[str, Any]) -> None:
         if method == "ping":
             return peer.result(request_id, {})
@@ -152,24 +164,15 @@
             self.front.router.client_left(exchange.id, ending)
 
 
-class ClientFront:
+class ClientFront(ClientConnections[ClientConnection]):
     def __init__(self, loop: Loop, router: Router, names: Names) -> None:
-        self.loop, self.router, self.names = loop, router, names
-        self.connections: set[ClientConnection] = set()
+        super().__init__(loop, IDLE_MOST)
+        self.router, self.names = router, names
         self.accepting_over = False
 
     def accepted(self, sock: socket.socket) -> None:
         self.connections.add(ClientConnection(self, sock))
 
-    def make_room(self) -> None:
-        idle = sorted(self._idle(), key=lambda connection: connection.peer.idle_since)
-        for connection in idle[:ROOM_STEP]:
-            connection.peer.hang_up()
-
     def stop_accepting(self) -> None:
         self.accepting_over = True
-        for connection in self._idle():
-            connection.peer.hang_up()
-
-    def _idle(self) -> list[ClientConnection]:
-        return [connection for connection in self.connections if not connection.exchanges]
+        super().stop_accepting()
--- a/yewhook/toolcalls/workers.py
+++ b/yewhook/toolcalls/workers.py
@@ -5,9 +5,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from hopshed import interface as i
-from hopshed import wire
-
+from .. import reports
 from ..config import Address
 from ..core.ending import Ending
 from ..front import AttemptsOut
@@ -29,14 +27,6 @@
     params: dict[str, Any]
 
 
-def report(raw: Any, columns: tuple[str, ...]) -> i.Load | None:
-    """A load report, under the names of the settings' columns; None where it is not understood."""
-    if not isinstance(raw, dict):
-        return None
-    row = [v if isinstance(v := raw.get(name), int | float) else None for name in columns]
-    return wire.load(row, list(columns))
-
-
 class WorkerAttempt:
     """One attempt at one worker, from its request to its end; it hears what the worker says meanwhile."""
 
@@ -132,9 +122,8 @@
             return self.workers.end(self, of_worker(error))
         body = result if isinstance(result, dict) else {}
         ending = Ending.READ if body.get("read") is True else Ending.SERVED
-        kept = body.get("cachedTokens")
-        load = report(body.get("load"), self.workers.columns)
-        return self.workers.end(self, ending, kept if isinstance(kept, int) else 0, load)
+        load = reports.load(body.get("load"), self.workers.columns)
+        return self.workers.end(self, ending, reports.count(body.get("cachedTokens")), load)
 
     # ---- giving up ----
 
