Forget what is gone, keep unsafe turns from failing servers, end routers before the kill

Changed: in the module, turns that cannot be repeated avoid a server that failed lately (others find out), and a stream that comes back may take two aims before it is refused; a router ends at 3.3 s, moves its streams little by little in the last second and answers what still waits. Servers gone for 30 s, old shared beginnings and released turns are forgotten in core, registry and module; JSON-RPC peers end a begun message in 2.2 s and leave 4 MiB unread at most; the agent's connections are limited.

--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -24,6 +24,7 @@
 
 TICK, LOOK_EVERY, LIFT = 0.05, 4, 4.0  # s; ticks between looks over the fleet; wait over CST that lifts
 SESSION_IDLE, ORDERS_KEPT = 60.0, 500  # s unused until sessions and kept texts are dropped; hash orders kept
+FORGET, SEEN_IDLE = 30.0, 300.0  # s until a server that is gone is forgotten; a beginning that comes no more
 MEMORY_FULL, UTIL_FLOOR = 0.9, 0.05  # memory share above which a writer has no room; idle reports say little
 SMOOTHING, REPORT_TTL = 0.25, 3.0  # s; moving average over room; age at which a report is as not heard
 LOAD_BOUND = 2.0  # a reader holding over this times the median of our reads is passed over
@@ -46,6 +47,8 @@
 STATE_HOLD = 0.6  # part of the release limit for which a state may wait for a writer
 RETRY_AFTER, LAST_CALL = (0.2, 0.8), 0.1  # s; advice to refused clients, spread; time kept for the answer
 ERROR_RATE, MOVE_SHARE = 0.4, 0.34  # error rate that ejects; part of our streams that a silent server moves
+RESUMED_AIMS = 2.0  # aims that a stream which comes back may take to go on
+DOUBT, DOUBT_FOR = 0.2, 30.0  # error rate (one failure's is more) that puts a server in doubt, and s for it
 EJECT_BASE, EJECT_MAX, EJECT_CAP = 2.0, 6.0, 0.7  # s, doubling; part of a role that may be ejected at once
 SILENT_AFTER, SILENT_WAITS = 0.6, 2.0  # s, and expected waits, without an answer before a probe asks
 SILENT_TIMES, PROBE_FAILS = 3.0, 2  # so long, and a writer is out though it answers probes; lost in a row
@@ -132,9 +135,10 @@
                 w.listed, w.cold_level = now, self.random.random()
                 self.kept = {key: use for key, use in self.kept.items() if key[0] != info.id}
             w.info = info
+            w.gone_at = now if info.state is ServerState.GONE else math.inf
         for w in self.workers.values():
             if ev.kind is not ListKind.CHANGES and w.info.id not in named:
-                w.info = w.info._replace(state=ServerState.GONE)
+                w.info, w.gone_at = w.info._replace(state=ServerState.GONE), min(now, w.gone_at)
         alive = [w.role for w in self.workers.values() if w.info.state is ServerState.RUNNING]
         self.running = {role: alive.count(role) for role in Role}
         parts = {n: self._balance(w.info.cell, "cell") for n, w in self.workers.items()}
@@ -155,9 +159,12 @@
         if self.leaving[tenant] > LEAVE_SHARE:
             # Reads for clients who leave early run on and serve nobody (i547495); hurts if only some hurry.
             aim = min(aim, self.leave_age[tenant])
+        if ev.resumed:  # its stream has begun elsewhere, and a refusal costs all of it; late, only a part
+            aim = min(RESUMED_AIMS * aim, ev.patience)
         req = self.requests[ev.id] = Request(ev, tenant, now, now + ev.patience, now + aim)
         for key in ("", ev.prefix) if ev.prefix else ():  # "" counts all
-            self.seen.setdefault(key, Estimate()).bump(1.0, now, SESSION_IDLE)
+            seen = self.seen[key] = self.seen.pop(key, Estimate())  # kept in the order of last use
+            seen.bump(1.0, now, SESSION_IDLE)
         req.cst = self.sessions[ev.session].cst if ev.session in self.sessions else 0.0
         self.gap, self.came = self.gap + SLOW_GAIN * (min(now - self.came, COMMON_MAX) - self.gap), now
         self.retries = min(RETRY_CAP, self.retries + RETRY_RATIO)
@@ -316,7 +323,7 @@
     def _bad(self, w: Worker, now: float, cut_off: bool) -> None:
         """Guards against servers that fail fast, refuse connections or let attempts run out in silence, also
         broken links; it hurts when errors follow the request and not the server, which EJECT_CAP bounds."""
-        w.errors += GAIN * (1.0 - w.errors)
+        w.errors, w.failed_at = w.errors + GAIN * (1.0 - w.errors), now
         if w.trial or w.errors > ERROR_RATE:
             self._eject(w, now, silent=cut_off)  # what waits on one that cannot be reached stands still
 
@@ -354,7 +361,16 @@
     def _pool(self, role: Role, now: float, req: Request | None = None) -> list[Worker]:
         tried = [a.server for a in req.attempts] if req else []
         pool = [w for w in self.workers.values() if w.role is role and w not in tried]
-        return [w for w in pool if self._usable(w, now, req)]
+        pool = [w for w in pool if self._usable(w, now, req)]
+        if req is not None and self.s.classes[req.ev.cls].effect is Effect.UNSAFE:
+            return [w for w in pool if not self._in_doubt(w, now)] or pool
+        return pool
+
+    def _in_doubt(self, w: Worker, now: float) -> bool:
+        """It failed lately, or is on trial after that. Guards turns that cannot be repeated against servers
+        that fail all they get: other turns find out how these do. Reads have no effect."""
+        failing = w.trial or w.errors > DOUBT
+        return failing and w.role is not Role.READER and now - w.failed_at < DOUBT_FOR
 
     def _cold(self, w: Worker, now: float) -> bool:
         start = w.info.started if w.info.started is not None else w.listed
@@ -560,6 +576,7 @@
         drawn and probed when the read begins, and their room decides: we have hardly a stream at each."""
         tried = [a.server for a in req.attempts]
         two = [w for w in req.pair if w not in tried and self._usable(w, now, req)]
+        two = [w for w in two if not self._in_doubt(w, now)]
         if len(self._roomy(two, now)) < 2:
             two = self._pair(req, req.state, now)
         if self.steered and all(self._room(w, now) is not None for w in two):
@@ -677,12 +694,25 @@
                 self._further(req, now)
         drop_before(self.sessions, now - SESSION_IDLE)
         drop_before(self.kept, now - SESSION_IDLE)
+        drop_before(self.seen, now - SEEN_IDLE)
+        self._forget(now)
         if self.timer % LOOK_EVERY == 0:
             self._probes(now)
         if self.counts and now - self.log_at >= LOG_EVERY:
             self.acts.append(Log("; ".join(f"{why}: {n}" for why, n in self.counts.items())))
             self.counts, self.log_at = {}, now
 
+    def _forget(self, now: float) -> None:
+        """Guards against growth with ids that never come again. In a long overload the heaps still name turns
+        that the other heap has released, so they are built anew when most of what they name is over."""
+        for n in [n for n, w in self.workers.items() if now - w.gone_at > FORGET]:
+            del self.workers[n]
+        if len(self.by_cst) + len(self.by_lift) > 4 * self.held + ORDERS_KEPT:
+            self.by_cst = [entry for entry in self.by_cst if entry[-1].held]
+            self.by_lift = [entry for entry in self.by_lift if entry[-1].held]
+            heapq.heapify(self.by_cst)
+            heapq.heapify(self.by_lift)
+
     def _probes(self, now: float) -> None:
         """Probe for load where only probes tell it, and what is overdue, lost a probe or is to come back."""
         steer = bool(self.s.report_fields) and not self.s.reports_in_answers
--- a/hopshed/state.py
+++ b/hopshed/state.py
@@ -102,6 +102,7 @@
     def __init__(self, info: Server, role: Role, now: float, listed: float) -> None:
         self.info, self.role = info, role
         self.listed = listed
+        self.gone_at = math.inf
         self.reads, self.streams = 0, 0
         self.pending: list[Attempt] = []  # ours that have not been read, or have no first token yet
         self.forget(now)
@@ -115,6 +116,7 @@
         self.hit = 1.0  # part of the tokens that should have been kept and were
         self.drag = 1.0  # its streams' time against the class's mean over servers
         self.errors, self.ejected, self.ejections, self.trial = 0.0, -math.inf, 0, False
+        self.failed_at = -math.inf
         self.life, self.probing, self.probe_at, self.probe_fails = now, False, -math.inf, 0
         self.cold_level, self.cold_at = 0.0, now
         self.work = Estimate()  # rate of requests sent there
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -170,3 +170,13 @@
     path.write_text(path.read_text().replace(old, new, 1))
     with pytest.raises(ConfigError, match=complaint):
         read(path)
+
+
+def test_the_agents_connections_are_limited_and_idle_ones_make_room(
+    running: Running, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("yewhook.agent.PEERS_MOST", 2)
+    silent = [socket.create_connection(running.place) for _ in range(2)]
+    assert running.beside(lambda: ask(running.place, "agent/status", {}))["instances"]
+    for sock in silent:
+        sock.close()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -94,6 +94,7 @@
         self.sent: list[tuple[str, int, int]] = []
         self.aborted: list[tuple[str, int]] = []
         self.released: list[str] = []
+        self.forgotten: list[int] = []
 
     def send(self, request_id: str, attempt: int, server: int, call: object, timeout: float) -> None:
         self.sent.append((request_id, attempt, server))
@@ -105,6 +106,9 @@
     def release(self, request_id: str) -> None:
         self.released.append(request_id)
 
+    def forget(self, server: int) -> None:
+        self.forgotten.append(server)
+
     def pause(self, request_id: str, attempt: int, paused: bool) -> None:
         raise AssertionError("nothing is slow here")
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Iterator, Sized
 
 import pytest
 from test_platform import FLEET, Platform, ask
@@ -121,3 +121,46 @@
     assert not room.for_clients() and room.for_workers()
     p.service.loop.sockets = 240
     assert not room.for_workers()
+
+
+def sizes(p: Platform) -> list[int]:
+    module, router, registry = p.front.router._module, p.front.router, p.front.registry
+    tables: list[Sized] = [
+        module.workers, module.requests, module.kept, module.seen, module.sessions, router.lives,
+        router.servers, router._told_off, registry.addresses, registry.states, p.front.pool._idle,
+        p.front.workers._out, p.front.clients.connections, p.service.loop.deadlines._due,
+    ]  # fmt: skip
+    return [len(table) for table in tables]
+
+
+def later(p: Platform) -> None:
+    for _ in range(400):
+        p.turn(1.0, 0.0)
+
+
+def test_what_is_gone_for_long_is_forgotten(p: Platform) -> None:
+    # Workers, clients and openings come and go for months under ever new ids, and each left something behind.
+    def generation(n: int, full: bool) -> None:
+        old = {"lifecycle": "removed", "instanceId": f"s-{n - 1}"}
+        new = {"instanceId": f"s-{n}", "hostPort": f"127.0.0.1:{20000 + n}"}
+        entries = [p.entry("writer") | new] + ([p.entry("writer"), p.entry("reader")] if full else
+                                               [p.entry("writer") | old])  # fmt: skip
+        message = {"generation": n, "reset": full, "instances": entries}
+        p.front.watch.message(message)
+        p.wait(0.01)
+
+    generation(10, True)
+    for n in range(3):
+        p.play(f"a{n} send ask id=a{n} X_Labels=prefix=p{n},prompt_len=9,prefix_len=5\nreader expect POST")
+        p.play(f"reader send status status=500\na{n} close\nwait 0.1")
+    p.play("reader send status status=204\nwriter close")
+    later(p)
+    before = sizes(p)
+    for n in range(11, 40):
+        generation(n, n % 7 == 0)
+        name = f"b{n}"
+        p.play(f"{name} send ask id=b{n} X_Labels=prefix=q{n},prompt_len=9,prefix_len=5\nwait 0.05")
+        p.play(f"{name} close\nwait 0.05")
+    assert sum(sizes(p)) > sum(before) + 20
+    later(p)
+    assert sizes(p) == before
--- a/yewhook/agent.py
+++ b/yewhook/agent.py
@@ -19,12 +19,14 @@
 from .config import Address, ConfigError, Table, address, toml
 from .config import read as read_config
 from .dnssd import ServiceInstance, master_file
-from .jsonrpc import Code, Id, Peer, RpcError, encode
+from .front import ClientConnections
+from .jsonrpc import Code, Handler, Id, Peer, RpcError, encode
 from .loop import Loop
 from .service import Acceptor, listen
 from .toolcalls.config import read as read_toolcalls
 
 POLL = 0.1  # s between looks at the processes
+PEERS_MOST, PEER_IDLE = 64, 60.0  # connections of those who ask; s for which one is kept that asks nothing
 PROBE_EVERY, PROBE_PATIENCE, PROBES_LOST = 0.5, 1.0, 3  # s, s, lost in a row until an instance is not ready
 BACKOFF, BACKOFF_MOST = 0.2, 10.0  # s until a restart, doubling
 STEADY = 10.0  # s of good service after which the next restart is quick again
@@ -276,6 +278,20 @@
         }
 
 
+class AgentPeers(ClientConnections[Peer]):
+    """The connections of those who ask."""
+
+    def __init__(self, loop: Loop, handler: Handler) -> None:
+        super().__init__(loop, PEER_IDLE)
+        self._handler = handler
+
+    def accepted(self, sock: socket.socket) -> None:
+        self.connections.add(Peer.accepted(self.loop, sock, self._handler))
+
+    def room(self) -> bool:
+        return len(self.connections) < PEERS_MOST
+
+
 class Agent:
     """A `Front` of its process: it drains by draining its instances."""
 
@@ -285,11 +301,11 @@
         self.loop, self.fleet, self.grace = loop, fleet, fleet.grace
         self._read_again = read_again
         self._stop = stop
-        self._peers: set[Peer] = set()
+        self._peers = peers = AgentPeers(loop, self)
         self.instances = {spec.name: Instance(loop, spec, self._publish) for spec in fleet.instances}
         listener = listen(fleet.listen)
         self.port: int = listener.getsockname()[1]
-        self._acceptor = Acceptor(loop, listener, lambda: True, lambda: None, self._accepted)
+        self._acceptor = Acceptor(loop, listener, peers.room, peers.make_room, peers.accepted)
         for instance in self.instances.values():
             instance.start()
         self._look()
@@ -315,9 +331,6 @@
 
     # ---- what is asked ----
 
-    def _accepted(self, sock: socket.socket) -> None:
-        self._peers.add(Peer.accepted(self.loop, sock, self))
-
     def request(self, peer: Peer, request_id: Id, method: str, params: dict[str, Any]) -> None:
         if method == "agent/status":
             instances = [instance.report() for instance in self.instances.values()]
@@ -342,7 +355,7 @@
         """Nothing is announced to the agent."""
 
     def gone(self, peer: Peer) -> None:
-        self._peers.discard(peer)
+        self._peers.connections.discard(peer)
 
     def slow(self, peer: Peer, slow: bool) -> None:
         """Reports are short."""
@@ -382,13 +395,16 @@
     def stop_accepting(self) -> None:
         """The agent answers until its last instance has stopped."""
 
+    def thin_out(self, part: float) -> None:
+        """Its instances see to their own streams."""
+
     def break_off(self) -> None:
         for instance in self.instances.values():
             instance.kill()
 
     def close(self) -> None:
         self._acceptor.stop()
-        for peer in list(self._peers):
+        for peer in list(self._peers.connections):
             peer.close()
         for instance in self.instances.values():
             instance.reap()
--- a/yewhook/core/ports.py
+++ b/yewhook/core/ports.py
@@ -43,6 +43,9 @@
     def pause(self, request_id: str, attempt: int, paused: bool) -> None:
         """Stop or go on reading a stream whose client is slow."""
 
+    def forget(self, server: int) -> None:
+        """The server has been gone for long."""
+
 
 class Told(Protocol):
     """Where the workers' side tells what comes of an attempt: the core's router."""
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -8,6 +8,7 @@
 
 import traceback
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from hopshed import Controller
@@ -20,6 +21,7 @@
 from .ports import Client, Workers
 
 ANSWER_GRACE = 0.02  # s after its deadline at which a request that the module left open is answered
+FORGET = 30.0  # s after which a server that is gone is forgotten: no rule and no request reaches back as far
 LET_GO = 0.8  # part of the release limit after which the core lets go of what the module forgot
 
 
@@ -88,11 +90,18 @@
         if life is not None and life.stage is Stage.STREAMING and life.out is not None:
             self.workers.pause(request_id, life.out.number, slow)
 
-    def break_off_streams(self) -> None:
-        """End all running streams in good order, for the process is about to go."""
+    def thin_out(self, part: float) -> None:
+        """Move a part of the streams, the latest first: the others are nearer to their ends."""
+        streams = [life for life in self.lives.values() if life.stage is Stage.STREAMING]
+        count = int(part * len(streams)) if self.settings.may_resume else 0
+        for life in streams[len(streams) - count :]:
+            self._move(i.MoveStream(life.id))
+
+    def break_off(self) -> None:
+        """End all that is open in good order, for the process is about to go: clients go on elsewhere."""
         for life in list(self.lives.values()):
-            if life.stage is Stage.STREAMING:
-                self._move(i.MoveStream(life.id))
+            self.give_up(life.id)
+            self._move(i.MoveStream(life.id))
 
     # ---- facts from the workers' side ----
 
@@ -103,13 +112,26 @@
             gone = (s for n, s in self.servers.items() if n not in named)
             named |= {s.id: s._replace(state=i.ServerState.GONE) for s in gone}
         for server in named.values():
+            known = self.servers.get(server.id)
             self.servers[server.id] = server
+            if server.state is i.ServerState.GONE and (known is None or known.state is not server.state):
+                self._deadlines.set(self._clock() + FORGET, partial(self._forget, server.id))
             if server.state is i.ServerState.RUNNING:
                 self._told_off.pop(server.id, None)
             else:
                 self._told_off.setdefault(server.id, self._clock())
         self._facts.append(i.ServersListed(kind, servers))
 
+    def _forget(self, number: int) -> None:
+        """Let go of all that is known of a server that has been gone for long; ids never come to an end."""
+        server = self.servers.get(number)
+        if server is not None and server.state is i.ServerState.GONE:
+            if self._clock() - self._told_off[number] < FORGET / 2:
+                return  # it came back meanwhile and is gone again; a later deadline is set for that
+            del self.servers[number]
+            self._told_off.pop(number, None)
+            self.workers.forget(number)
+
     def event(self, request_id: str, number: int, data: object) -> bool:
         """One event of an attempt's stream; with the first, the attempt belongs to the client.
 
--- a/yewhook/front.py
+++ b/yewhook/front.py
@@ -18,6 +18,7 @@
 from .releases import Ask, Releases
 from .service import Acceptor, Room, listen
 
+GRACE_MOST = 3.0  # s; the platform grants the longest patience of a class, and no more than this
 ROOM_STEP = 32  # idle connections closed at a time when sockets run out
 IDLE_LEAST = 2.0  # s that a connection is left open on which nothing is asked, however short room is
 
@@ -87,8 +88,8 @@
 
     told: Told
 
-    def __init__(self, loop: Loop, addresses: dict[int, Address], release: Callable[[str], None]) -> None:
-        self.loop, self.addresses = loop, addresses
+    def __init__(self, loop: Loop, registry: Registry, release: Callable[[str], None]) -> None:
+        self.loop, self._registry = loop, registry
         self._release = release
         self._out: dict[tuple[str, int], O] = {}
 
@@ -96,7 +97,7 @@
         """Begin an attempt at a server's address; where there is no connection, that is its end."""
         self._out[out.request_id, out.number] = out
         try:
-            begin(self.addresses[server])
+            begin(self._registry.addresses[server])
         except (OSError, KeyError) as error:
             self.loop.log("no connection to a worker", f"{server}: {error}")
             self.end(out, Ending.NO_SOCKET)
@@ -112,6 +113,9 @@
     def release(self, request_id: str) -> None:
         self._release(request_id)
 
+    def forget(self, server: int) -> None:
+        self._registry.forget(server)
+
     def pause(self, request_id: str, attempt: int, paused: bool) -> None:
         if (out := self._out.get((request_id, attempt))) is not None:
             out.pause(paused)
@@ -126,7 +130,7 @@
         self, loop: Loop, settings: i.Settings, names: Names, ask: Ask, latest: Callable[[], list[Address]]
     ) -> None:
         self.loop, self._settings = loop, settings
-        self.grace = max(c.patience for c in settings.classes)
+        self.grace = min(GRACE_MOST, max(c.patience for c in settings.classes))
         self.registry = Registry(names, time.monotonic() - time.time(), loop.log)
         self.releases = Releases(loop, ask, latest, self.registry.running)
 
@@ -160,8 +164,11 @@
         self._acceptor.stop()
         self._clients.stop_accepting()
 
+    def thin_out(self, part: float) -> None:
+        self.router.thin_out(part)
+
     def break_off(self) -> None:
-        self.router.break_off_streams()
+        self.router.break_off()
 
     def close(self) -> None:
         """Nothing else is left open."""
--- a/yewhook/jsonrpc.py
+++ b/yewhook/jsonrpc.py
@@ -17,6 +17,8 @@
 
 LINE_LIMIT = 512 * 1024  # bytes of one message
 OPEN_LIMIT = 64  # requests of the peer's that may be open on one connection
+UNSENT_LIMIT = 4 * 1024 * 1024  # bytes that a peer may leave unread
+UNFINISHED = 2.2  # s in which a message that has begun must go on to its end
 
 
 class Code(IntEnum):
@@ -107,6 +109,7 @@
         self._ids = itertools.count(1)
         self._rest = b""
         self._slow = False
+        self._timer: Deadline | None = None  # for the connection to come up, or for a begun message to end
 
     @classmethod
     def connect(cls, loop: Loop, address: Address, handler: Handler, timeout: float) -> Peer:
@@ -114,7 +117,7 @@
         peer = cls(loop, handler)
         peer.address = address
         peer.channel = Channel.connect(loop, address, peer)
-        loop.after(timeout, peer._too_late)
+        peer._look_in(timeout, peer._too_late)
         return peer
 
     @classmethod
@@ -125,15 +128,22 @@
         peer.channel = Channel(loop, sock, peer)
         return peer
 
+    def _look_in(self, seconds: float, look: Callable[[], None]) -> None:
+        self._no_timer()
+        self._timer = self.loop.deadlines.set(self.loop.now + seconds, look)
+
+    def _no_timer(self) -> None:
+        self.loop.deadlines.cancel(self._timer)
+        self._timer = None
+
     def _too_late(self) -> None:
-        if not self.up and not self.channel.closed:
-            self.channel.abort()
-            self._end(True)
+        self.channel.abort()
+        self._end(True)
 
     @property
-    def unfinished(self) -> bool:
-        """Whether a message of the peer's has begun and not ended."""
-        return bool(self._rest)
+    def idle(self) -> bool:
+        """Whether the peer has nothing open, and nothing on its way."""
+        return not self.open and not self._rest
 
     @property
     def written(self) -> bool:
@@ -168,6 +178,7 @@
 
     def result(self, request_id: Id, result: Any) -> None:
         self.open.discard(request_id)
+        self.idle_since = self.loop.now
         self._send({"id": request_id, "result": result})
 
     def error(self, request_id: Id | None, error: RpcError) -> None:
@@ -177,6 +188,9 @@
 
     def _send(self, message: dict[str, Any]) -> None:
         self.channel.send(encode(message))
+        if self.channel.unsent > UNSENT_LIMIT:
+            self.channel.abort()
+            return self._end(True)
         if self.channel.unsent > SLOW and not self._slow:
             self._slow = True
             self.handler.slow(self, True)
@@ -185,6 +199,7 @@
 
     def connected(self) -> None:
         self.up = True
+        self._no_timer()
 
     def drained(self) -> None:
         if self._slow:
@@ -197,8 +212,16 @@
             if line.strip() and not self.channel.closed:
                 self._line(line)
         if len(self._rest) > LINE_LIMIT:
-            self.error(None, RpcError(Code.INVALID_REQUEST, "the message is too long"))
-            self.hang_up()
+            return self._cut_off("the message is too long")
+        if not self._rest or self.channel.closed:
+            return self._no_timer()
+        if lines or self._timer is None:
+            return self._look_in(UNFINISHED, lambda: self._cut_off("the message took too long to arrive"))
+        return None
+
+    def _cut_off(self, why: str) -> None:
+        self.error(None, RpcError(Code.INVALID_REQUEST, why))
+        self.hang_up()
 
     def hang_up(self) -> None:
         """Write what is left and close; the handler hears that the peer is gone."""
@@ -209,12 +232,14 @@
     def close(self) -> None:
         """Close now, whatever is open; the handler hears nothing more."""
         self._asked.clear()
+        self._no_timer()
         self.channel.abort()
 
     def lost(self, error: OSError | None) -> None:
         self._end(error is None)
 
     def _end(self, clean: bool) -> None:
+        self._no_timer()
         asked, self._asked = self._asked, {}
         for one in asked.values():
             self.loop.deadlines.cancel(one.timer)
--- a/yewhook/platform/front.py
+++ b/yewhook/platform/front.py
@@ -27,8 +27,7 @@
             lambda address, request_id, done: delete(pool, address, request_id, done),
             pool.latest,
         )
-        addresses, release = self.registry.addresses, self.releases.release
-        self.workers = HttpWorkers(pool, config.names.columns, addresses, release)
+        self.workers = HttpWorkers(pool, config.names.columns, self.registry, self.releases.release)
         self.route(self.workers, config.seed)
         try:
             known = self.registry.read(config.known)
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -17,6 +17,7 @@
 from ..front import AttemptsOut
 from ..loop import Loop
 from ..pool import Pool
+from ..registry import Registry
 from . import http
 from .clients import Call
 
@@ -313,10 +314,10 @@
         self,
         pool: WorkerPool,
         columns: tuple[str, ...],
-        addresses: dict[int, Address],
+        registry: Registry,
         release: Callable[[str], None],
     ) -> None:
-        super().__init__(pool.loop, addresses, release)
+        super().__init__(pool.loop, registry, release)
         self.pool, self.columns = pool, columns
 
     def send(self, request_id: str, attempt: int, server: int, call: object, timeout: float) -> None:
--- a/yewhook/registry.py
+++ b/yewhook/registry.py
@@ -51,19 +51,25 @@
         for raw in message.get("instances") or []:
             try:
                 server = self.entry(raw)
-                if raw.get("hostPort"):
-                    self.addresses[server.id] = address(raw["hostPort"], "hostPort")
+                place = address(raw["hostPort"], "hostPort") if raw.get("hostPort") else None
             except (KeyError, TypeError, ValueError, AttributeError, ConfigError) as error:
                 self.log("entry not understood", f"{type(error).__name__} {error} in {raw}")
                 continue
-            if server.kind >= 0:  # a kind of machine that the settings don't know has no role here
-                servers.append(server)
+            if server.kind < 0:  # a kind of machine that the settings don't know has no role here
+                continue
+            servers.append(server)
+            if place is not None:
+                self.addresses[server.id] = place
         if message.get("reset"):
             named = {server.id for server in servers}
             self.states = {n: s for n, s in self.states.items() if n in named}
         self.states.update((server.id, server.state) for server in servers)
         return tuple(servers)
 
+    def forget(self, number: int) -> None:
+        self.addresses.pop(number, None)
+        self.states.pop(number, None)
+
     def in_use(self) -> set[Address]:
         there = (n for n, state in self.states.items() if state is not i.ServerState.GONE)
         return {self.addresses[n] for n in there if n in self.addresses}
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import gc
+import math
 import selectors
 import signal
 import socket
@@ -18,9 +19,10 @@
 WORKERS_PART = 3  # one part in so many is kept free of clients, for what they ask for
 BODIES_PART = 8  # one part in so many of the memory may hold bodies of requests
 KEEP_ACCEPTING = 0.5  # s after SIGTERM in which new connections still arrive
-LAST_MOMENT = 0.3  # s before the end of the grace at which streams that still run are broken off
+KILLED_AFTER = 0.7  # s after the grace at which the platform may kill what still runs
+THIN_OUT = 0.1  # s between looks at the streams that still run, a part of which is moved at each
+LAST_MOMENT = 0.4  # s before that at which all that is still open is ended in good order
 ACCEPT_AT_ONCE, ACCEPT_AGAIN = 64, 0.05  # connections a turn; s until a full process tries again
-GRACE_LEAST = 3.0  # s; the grace is the longest that a front names, or this
 
 
 def listen(address: Address) -> socket.socket:
@@ -111,8 +113,11 @@
 
     def stop_accepting(self) -> None: ...
 
+    def thin_out(self, part: float) -> None:
+        """Move that part of the streams that still run, where their clients can go on elsewhere."""
+
     def break_off(self) -> None:
-        """End the streams that still run: the process is about to go."""
+        """Answer what waits and end the streams that still run: the process is about to go."""
 
     def close(self) -> None: ...
 
@@ -122,6 +127,7 @@
         self.log, self.loop = log, loop or Loop(log)
         self.fronts: list[Front] = []
         self.draining = False
+        self._end_at = 0.0
         self._wake: tuple[socket.socket, socket.socket] | None = None
 
     def heed_signals(self) -> None:
@@ -168,8 +174,9 @@
         for front in self.fronts:
             front.drain()
         self.loop.after(KEEP_ACCEPTING, self._stop_accepting)
-        grace = max(GRACE_LEAST, *(front.grace for front in self.fronts))
-        self.loop.after(grace + KEEP_ACCEPTING - LAST_MOMENT, self._break_off)
+        grace = max(front.grace for front in self.fronts)
+        self._end_at = self.loop.now + grace + KILLED_AFTER - LAST_MOMENT
+        self.loop.after(2 * KEEP_ACCEPTING, self._thin_out)
 
     def _stop_accepting(self) -> None:
         for front in self.fronts:
@@ -186,6 +193,15 @@
             front.close()
         self.loop.stopped = True
 
+    def _thin_out(self) -> None:
+        """Streams that came back all at once would fill the queues of those who go on with them."""
+        looks = math.floor((self._end_at - self.loop.now) / THIN_OUT)
+        if looks < 1:
+            return self.loop.after(max(0.0, self._end_at - self.loop.now), self._break_off)
+        for front in self.fronts:
+            front.thin_out(1.0 / looks)
+        return self.loop.after(THIN_OUT, self._thin_out)
+
     def _break_off(self) -> None:
         """The platform kills what still runs; a stream broken off first can go on at another router."""
         for front in self.fronts:
--- a/yewhook/toolcalls/clients.py
+++ b/yewhook/toolcalls/clients.py
@@ -99,7 +99,7 @@
 
     @property
     def idle(self) -> bool:
-        return not self.exchanges and not self.peer.unfinished
+        return not self.exchanges and self.peer.idle
 
     @property
     def idle_since(self) -> float:
--- a/yewhook/toolcalls/front.py
+++ b/yewhook/toolcalls/front.py
@@ -37,9 +37,14 @@
             pool.latest,
         )
         self._tools = tools = Tools(loop, pool, config.tool_deadline, self._tool_servers, seed)
-        addresses, release = self.registry.addresses, self.releases.release
         self._workers = workers = RpcWorkers(
-            loop, pool, tools, config.names.columns, addresses, release, config.worker_silence
+            loop,
+            pool,
+            tools,
+            config.names.columns,
+            self.registry,
+            self.releases.release,
+            config.worker_silence,
         )
         self.route(workers, seed)
         self._fleet = Fleet(loop, self._records, config.worker_service, self.registry, self.router.listed)
--- a/yewhook/toolcalls/workers.py
+++ b/yewhook/toolcalls/workers.py
@@ -11,6 +11,7 @@
 from ..front import AttemptsOut
 from ..jsonrpc import Code, Id, Late, Peer, RpcError
 from ..loop import Loop
+from ..registry import Registry
 from ..releases import Done
 from .endings import of_worker
 from .peers import PeerPool
@@ -158,11 +159,11 @@
         pool: PeerPool,
         tools: Tools,
         columns: tuple[str, ...],
-        addresses: dict[int, Address],
+        registry: Registry,
         release: Callable[[str], None],
         silence: float,
     ) -> None:
-        super().__init__(loop, addresses, release)
+        super().__init__(loop, registry, release)
         self.pool, self.tools, self.columns, self.silence = pool, tools, columns, silence
 
     def send(self, request_id: str, attempt: int, server: int, call: object, timeout: float) -> None:
