Break off streams that stand still, and tell the module that their server is silent

A running stream has no deadline here; the platform's front waited for a silent worker for ever, and the module took the time-out of such a stream for a long wait, if it learnt of it at all (_ended, TIMED_OUT).

Now a stream that says nothing for 2.5 s ends as worker_stalled, its client goes on elsewhere, and the server counts as silent. An entry of the list with an infinite number no longer hides the others.

--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -215,10 +215,11 @@
                 req.state = None
             else:
                 self._cut(w)
-        elif ev.outcome is Outcome.TIMED_OUT and w.life > a.sent:
+        elif ev.outcome is Outcome.TIMED_OUT and w.life > a.sent and not a.streaming:
             self._learn_wait(w, ev.latency, now)  # slow, not silent: others of ours were answered meanwhile
         elif ev.outcome not in (Outcome.CANCELED, Outcome.NOT_SENT):
-            self._bad(w, now, ev.outcome is Outcome.UNREACHABLE)
+            still = a.streaming and ev.outcome is Outcome.TIMED_OUT
+            self._bad(w, now, still or ev.outcome is Outcome.UNREACHABLE)
         if ev.outcome is Outcome.CANCELED and not a.streaming:  # it would have waited longer still
             self._learn_wait(w, max(ev.latency, self._wait(w, now)), now)
         req.done = req.done or ev.closed
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -135,3 +135,13 @@
 def test_a_report_is_found_under_either_name() -> None:
     load = reports.load(reports.parse('{"latency_ms":500,"x0":0.5}'), ("avg_ms", "x0", "x1"))
     assert load == Load(service_time=0.5, memory_share=0.5)
+
+
+def test_a_stream_that_stands_still_is_broken_off_and_the_worker_is_in_doubt(p: Platform) -> None:
+    # A machine that had fallen silent kept its clients waiting, and the module heard nothing of it.
+    p.play(begin() + "writer send stream\nwriter send event text=a\nclient expect a\nwait 2\n")
+    p.play("writer send event text=b\nclient expect b\nwait 2")
+    assert not p.parties["client"].ended
+    p.play("wait 0.7\nclient expect closed\nwriter expect closed")
+    assert "0\r\n\r\n" not in p.parties["client"].text
+    assert max(w.errors for w in p.front.router._module.workers.values()) > 0
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -21,6 +21,7 @@
 from . import http
 from .clients import Call
 
+STILL = 2.5  # s in which a running stream says nothing, until its client is better off elsewhere
 ANSWER_LIMIT = 64 * 1024  # bytes of an answer that is not a stream
 REST = 0.03  # s that a kept connection stands before its next exchange
 UNFINISHED = 1.0  # s in which a head, a chunk or an event that has begun must go on to its end
@@ -56,6 +57,8 @@
         self._in_head = self._begun = self._in_chunk = self._complete = self._reusable = False
         self.channel = Channel.connect(pool.loop, address, self)
         self._timer: Deadline | None = None
+        self._heard = 0.0
+        self._still: Deadline | None = None  # for a running stream to say something
         self._look_in(pool.connect_timeout, self._too_late)
 
     @property
@@ -73,7 +76,8 @@
 
     def close(self) -> None:
         self.exchange = self._parser = None  # the parser knows this object, too
-        self.pool.loop.deadlines.cancel(self._timer)
+        self._no_timer()
+        self.pool.loop.deadlines.cancel(self._still)
         self.channel.abort()
         self.pool.forget(self)
 
@@ -99,6 +103,7 @@
     def received(self, data: bytes) -> None:
         if self.exchange is None or self._parser is None:
             return self.close()  # bytes that nobody asked for
+        self._heard = self.pool.loop.now
         if self._in_head:
             self._head_size += len(data)
         try:
@@ -116,6 +121,7 @@
     def _whole(self) -> None:
         exchange, self.exchange = self.exchange, None
         self._no_timer()
+        self.pool.loop.deadlines.cancel(self._still)
         if self._reusable and self.written:
             self.pool.keep(self)
         else:
@@ -133,6 +139,17 @@
         else:
             self._no_timer()
 
+    def _watch_stream(self) -> None:
+        """A running stream has no deadline, and a machine that has fallen silent never ends one."""
+        if self.channel.paused:  # by us, since the client is slow
+            self._heard = self.pool.loop.now
+        left = self._heard + STILL - self.pool.loop.now
+        if left > 0:
+            self._still = self.pool.loop.deadlines.set(self.pool.loop.now + left, self._watch_stream)
+        else:
+            self.pool.log("stream stands still", f"{self.address[0]}:{self.address[1]}")
+            self._broken(Ending.WORKER_STALLED)
+
     def _stuck(self) -> None:
         self._timer = None
         if self.channel.paused:  # by us, since the client is slow
@@ -179,6 +196,8 @@
         self._in_head = False
         if self.exchange is not None:
             self.exchange.begun(status, self._headers)
+            if status == 200:
+                self._watch_stream()
 
     def on_body(self, body: bytes) -> None:
         if self.exchange is not None and not self._complete:
--- a/yewhook/registry.py
+++ b/yewhook/registry.py
@@ -52,7 +52,7 @@
             try:
                 server = self.entry(raw)
                 place = address(raw["hostPort"], "hostPort") if raw.get("hostPort") else None
-            except (KeyError, TypeError, ValueError, AttributeError, ConfigError) as error:
+            except (KeyError, TypeError, ValueError, OverflowError, AttributeError, ConfigError) as error:
                 self.log("entry not understood", f"{type(error).__name__} {error} in {raw}")
                 continue
             if server.kind < 0:  # a kind of machine that the settings don't know has no role here
