Keep each connection's deadline in one Timer instead of five hand-made ones

Also: Life.unanswered for a condition that stood three times, Peer._drop for two equal endings, the answer's queue is looked at once in _served, an absent report is no longer parsed, and the fixture of three test files stands in conftest.py.

--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,15 @@
+"""What several files of tests stand on."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+from test_platform import FLEET, Platform
+
+
+@pytest.fixture
+def p() -> Iterator[Platform]:
+    platform = Platform(FLEET)
+    yield platform
+    platform.end()
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Iterator
 
 import pytest
 from scenario import Clock, KeptLog
-from test_platform import FLEET, Platform, answer, begin, chunk
+from test_platform import Platform, answer, begin, chunk
 
 from hopshed.interface import Load
 from yewhook import reports
@@ -16,13 +15,6 @@
 from yewhook.platform.workers import WorkerConnection, WorkerPool
 
 
-@pytest.fixture
-def p() -> Iterator[Platform]:
-    platform = Platform(FLEET)
-    yield platform
-    platform.end()
-
-
 def fed(*parts: bytes) -> tuple[list[int], list[str], bool]:
     """What an exchange hears of an answer in these reads: its statuses, its end, and if it is kept."""
     loop = Loop(KeptLog(), Clock())
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,22 +3,16 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Iterator, Sized
+from collections.abc import Sized
 
 import pytest
-from test_platform import FLEET, Platform, ask
+from test_platform import Platform, ask
 
 from yewhook.config import Limits
+from yewhook.loop import Timer
 from yewhook.service import Room
 
 
-@pytest.fixture
-def p() -> Iterator[Platform]:
-    platform = Platform(FLEET)
-    yield platform
-    platform.end()
-
-
 @pytest.mark.parametrize(
     ("field", "status"),
     [
@@ -164,3 +158,12 @@
     assert sum(sizes(p)) > sum(before) + 20
     later(p)
     assert sizes(p) == before
+
+
+def test_a_timer_called_off_in_the_sweep_in_which_it_falls_due_does_not_call(p: Platform) -> None:
+    called: list[str] = []
+    first, second = Timer(p.service.loop), Timer(p.service.loop)
+    first.set(0.1, second.cancel)
+    second.set(0.1, lambda: called.append("second"))
+    p.wait(0.2)
+    assert not called and not first.running and not second.running
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -96,13 +96,6 @@
         return chunk(json.dumps(entry) + "\n")
 
 
-@pytest.fixture
-def p() -> Iterator[Platform]:
-    platform = Platform(FLEET)
-    yield platform
-    platform.end()
-
-
 @pytest.fixture
 def wide() -> Iterator[Platform]:
     platform = Platform(FLEET | {"reader2": "prefill", "writer2": "decode"})
--- a/yewhook/channel.py
+++ b/yewhook/channel.py
@@ -7,8 +7,7 @@
 import socket
 from typing import Protocol
 
-from .deadlines import Deadline
-from .loop import Loop
+from .loop import Loop, Timer
 
 READ_SIZE = 65536
 READ_OFF = 16  # reads a turn of what a peer still sends after our last word, which nobody needs
@@ -35,7 +34,7 @@
         self._out = bytearray()
         self.paused = self._finishing = self._unwritable = False
         self._accepted = not connecting
-        self._timer: Deadline | None = None  # for the end of a connection that is being finished
+        self._timer = Timer(loop)  # for the end of a connection that is being finished
         loop.sockets += 1
         loop.accepted += self._accepted
         sock.setblocking(False)
@@ -85,7 +84,7 @@
         if self.closed or self._finishing:
             return
         self._finishing, self.paused = True, False
-        self._abort_after(FLUSH)
+        self._timer.set(FLUSH, self.abort)
         if not self._out:
             self._end_sending()
 
@@ -93,17 +92,13 @@
         """Close now; the owner hears nothing more."""
         if not self.closed:
             self.closed = True
-            self.loop.deadlines.cancel(self._timer)
+            self._timer.cancel()
             self.loop.watch(self._sock, 0, self._ready)
             self._sock.close()
             self._out.clear()
             self.loop.sockets -= 1
             self.loop.accepted -= self._accepted
 
-    def _abort_after(self, seconds: float) -> None:
-        self.loop.deadlines.cancel(self._timer)
-        self._timer = self.loop.deadlines.set(self.loop.now + seconds, self.abort)
-
     def _watch(self) -> None:
         if self.closed:
             return
@@ -166,7 +161,7 @@
         return self.owner.drained()
 
     def _end_sending(self) -> None:
-        self._abort_after(LINGER)
+        self._timer.set(LINGER, self.abort)
         try:
             self._sock.shutdown(socket.SHUT_WR)
         except OSError:
--- a/yewhook/core/life.py
+++ b/yewhook/core/life.py
@@ -48,6 +48,11 @@
     def id(self) -> str:
         return self.arrived.id
 
+    @property
+    def unanswered(self) -> bool:
+        """Whether its one answer has not even begun."""
+        return self.stage not in (Stage.STREAMING, Stage.ENDED)
+
     @property
     def out(self) -> Attempt | None:
         """The attempt that is out; there is never a second one."""
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -81,7 +81,7 @@
     def give_up(self, request_id: str) -> None:
         """Answer a request now, whatever the module would still have done for it."""
         life = self.lives.get(request_id)
-        if life is not None and life.stage not in (Stage.STREAMING, Stage.ENDED):
+        if life is not None and life.unanswered:
             self._facts.append(i.ClientGone(request_id))
             self._decline(life, 0.0)
 
@@ -197,7 +197,7 @@
     def _start_over(self) -> None:
         """The module failed half-way: answer what waits on it, and go on with a fresh one."""
         for life in list(self.lives.values()):
-            if life.stage not in (Stage.STREAMING, Stage.ENDED):
+            if life.unanswered:
                 self._decline(life, 0.0)
         self._deadlines.cancel(self._module_timer)
         self._module = Controller(self.settings, self._seed)
@@ -311,7 +311,7 @@
         self.ended(life.id, attempt.number, ending)
 
     def _overdue(self, life: Life) -> None:
-        if life.stage not in (Stage.STREAMING, Stage.ENDED):
+        if life.unanswered:
             self.log("answer overdue", life.id)
             self._decline(life, 0.0)
 
--- a/yewhook/jsonrpc.py
+++ b/yewhook/jsonrpc.py
@@ -13,7 +13,7 @@
 from .channel import Channel
 from .config import Address
 from .deadlines import Deadline
-from .loop import Loop
+from .loop import Loop, Timer
 
 LINE_LIMIT = 512 * 1024  # bytes of one message
 OPEN_LIMIT = 64  # requests of the peer's that may be open on one connection
@@ -109,7 +109,7 @@
         self._ids = itertools.count(1)
         self._rest = b""
         self._slow = False
-        self._timer: Deadline | None = None  # for the connection to come up, or for a begun message to end
+        self._timer = Timer(loop)  # for the connection to come up, or for a begun message to end
 
     @classmethod
     def connect(cls, loop: Loop, address: Address, handler: Handler, timeout: float) -> Peer:
@@ -117,7 +117,7 @@
         peer = cls(loop, handler)
         peer.address = address
         peer.channel = Channel.connect(loop, address, peer)
-        peer._look_in(timeout, peer._too_late)
+        peer._timer.set(timeout, peer._drop)
         return peer
 
     @classmethod
@@ -128,15 +128,8 @@
         peer.channel = Channel(loop, sock, peer)
         return peer
 
-    def _look_in(self, seconds: float, look: Callable[[], None]) -> None:
-        self._no_timer()
-        self._timer = self.loop.deadlines.set(self.loop.now + seconds, look)
-
-    def _no_timer(self) -> None:
-        self.loop.deadlines.cancel(self._timer)
-        self._timer = None
-
-    def _too_late(self) -> None:
+    def _drop(self) -> None:
+        """Close now, and say so to all who wait."""
         self.channel.abort()
         self._end(True)
 
@@ -189,8 +182,7 @@
     def _send(self, message: dict[str, Any]) -> None:
         self.channel.send(encode(message))
         if self.channel.unsent > UNSENT_LIMIT:
-            self.channel.abort()
-            return self._end(True)
+            return self._drop()
         if self.channel.unsent > SLOW and not self._slow:
             self._slow = True
             self.handler.slow(self, True)
@@ -199,7 +191,7 @@
 
     def connected(self) -> None:
         self.up = True
-        self._no_timer()
+        self._timer.cancel()
 
     def drained(self) -> None:
         if self._slow:
@@ -214,9 +206,9 @@
         if len(self._rest) > LINE_LIMIT:
             return self._cut_off("the message is too long")
         if not self._rest or self.channel.closed:
-            return self._no_timer()
-        if lines or self._timer is None:
-            return self._look_in(UNFINISHED, lambda: self._cut_off("the message took too long to arrive"))
+            return self._timer.cancel()
+        if lines or not self._timer.running:
+            return self._timer.set(UNFINISHED, lambda: self._cut_off("the message took too long to arrive"))
         return None
 
     def _cut_off(self, why: str) -> None:
@@ -232,14 +224,14 @@
     def close(self) -> None:
         """Close now, whatever is open; the handler hears nothing more."""
         self._asked.clear()
-        self._no_timer()
+        self._timer.cancel()
         self.channel.abort()
 
     def lost(self, error: OSError | None) -> None:
         self._end(error is None)
 
     def _end(self, clean: bool) -> None:
-        self._no_timer()
+        self._timer.cancel()
         asked, self._asked = self._asked, {}
         for one in asked.values():
             self.loop.deadlines.cancel(one.timer)
--- a/yewhook/loop.py
+++ b/yewhook/loop.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from .deadlines import Deadlines
+from .deadlines import Deadline, Deadlines
 from .log import Log
 
 Handler = Callable[[int], None]
@@ -72,3 +72,30 @@
             call()
         except Exception:
             self.log("handler failed", traceback.format_exc().replace("\n", " | "))
+
+
+class Timer:
+    """One deadline of its owner's that can be put off or called off; nothing once it has fallen due."""
+
+    def __init__(self, loop: Loop) -> None:
+        self._loop = loop
+        self._deadline: Deadline | None = None
+
+    @property
+    def running(self) -> bool:
+        return self._deadline is not None
+
+    def set(self, seconds: float, call: Callable[[], None]) -> None:
+        """Call in so many seconds, in place of what was set before."""
+
+        def due() -> None:
+            if self._deadline is deadline:  # else called off in the very sweep in which it fell due
+                self._deadline = None
+                call()
+
+        self.cancel()
+        deadline = self._deadline = self._loop.deadlines.set(self._loop.now + seconds, due)
+
+    def cancel(self) -> None:
+        self._loop.deadlines.cancel(self._deadline)
+        self._deadline = None
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -15,9 +15,8 @@
 from ..config import Names
 from ..core.ending import Ending
 from ..core.router import Router
-from ..deadlines import Deadline
 from ..front import ClientConnections
-from ..loop import Loop
+from ..loop import Loop, Timer
 from . import http
 
 CHAT = b"/v1/chat/completions"
@@ -123,7 +122,7 @@
         self._taken_at = 0.0  # when a slow client last took something
         self._unsent = 0
         self.channel = Channel(front.loop, sock, self)
-        self._timer: Deadline | None = None  # for the request that is being read, or is to come first
+        self._timer = Timer(front.loop)  # for the request that is being read, or is to come first
         self._expect()
 
     @property
@@ -147,12 +146,7 @@
 
     def _expect(self) -> None:
         """A request is to arrive whole within a while from now."""
-        self._no_timer()
-        self._timer = self.front.loop.deadlines.set(self.front.loop.now + ARRIVE, self._late)
-
-    def _no_timer(self) -> None:
-        self.front.loop.deadlines.cancel(self._timer)
-        self._timer = None
+        self._timer.set(ARRIVE, self._late)
 
     def _late(self) -> None:
         if self.call is None:
@@ -163,7 +157,7 @@
     def on_message_begin(self) -> None:
         self.call = Call(began=self.front.loop.now)
         self._head_size, self._in_head = 0, True
-        if self._timer is None:
+        if not self._timer.running:
             self._expect()
 
     def on_url(self, url: bytes) -> None:
@@ -212,7 +206,7 @@
         if (call := self.call) is None or self._parser is None:
             return
         self.call = None
-        self._no_timer()
+        self._timer.cancel()
         call.method, call.keep_alive = self._parser.get_method(), self._parser.should_keep_alive()
         self.waiting.append(call)
         if len(self.waiting) > PIPELINE + (self.serving is None):
@@ -221,7 +215,7 @@
     def _reject(self, error: BadRequest) -> None:
         """Answer what can't be taken and hang up. An error is owed soon, so what came before it on the same
         connection and would take its time is refused, too."""
-        self._no_timer()
+        self._timer.cancel()
         self.front.log("bad request", str(error))
         for call in self.waiting:
             call.rejected = BadRequest(503, "not served, for what follows on the connection makes no sense")
@@ -266,11 +260,9 @@
         self._answer(error.status, str(error))
         if not self.channel.closed and not self._last:
             self.channel.pause(True)
-            self._no_timer()
-            self._timer = self.front.loop.deadlines.set(self.front.loop.now + PENALTY, self._read_on)
+            self._timer.set(PENALTY, self._read_on)
 
     def _read_on(self) -> None:
-        self._timer = None
         if self.call is not None:
             self._expect()
         self.channel.pause(False)
@@ -338,10 +330,10 @@
             self.front.held -= len(self.serving.body)
         self.request_id, self.serving = "", None
         self.idle_since = self.front.loop.now
-        if self._last and not self.waiting:
-            self.hang_up()
-        elif self.waiting:
+        if self.waiting:
             self.front.loop.after(0.0, self._next)
+        elif self._last:
+            self.hang_up()
 
     # ---- the connection ----
 
@@ -359,7 +351,7 @@
         self.channel.finish()
 
     def _gone(self) -> None:
-        self._no_timer()
+        self._timer.cancel()
         self.front.connections.discard(self)
         for call in filter(None, [self.call, self.serving, *self.waiting]):
             self.front.held -= len(call.body)
--- a/yewhook/platform/discovery.py
+++ b/yewhook/platform/discovery.py
@@ -12,8 +12,7 @@
 
 from ..channel import Channel
 from ..config import Address
-from ..deadlines import Deadline
-from ..loop import Loop
+from ..loop import Loop, Timer
 from ..registry import Registry
 from . import http
 
@@ -36,7 +35,7 @@
         self._registry, self._listed = registry, listed
         self._wait = AGAIN[0]
         self._channel: Channel | None = None
-        self._next: Deadline | None = None  # the next look at this connection, or the next one
+        self._next = Timer(loop)  # the next look at this connection, or the next one
         self._connect()
 
     def move(self, address: Address) -> None:
@@ -56,24 +55,21 @@
             return self._again(str(error))
         target = f"/v1/servers?watch=1&after={self._generation}"
         self._channel.send(http.head(f"GET {target} HTTP/1.1", {"Host": "discovery"}))
-        return self._look_in(LOOK_EVERY, self._check)
-
-    def _look_in(self, seconds: float, look: Callable[[], None]) -> None:
-        self._next = self._loop.deadlines.set(self._loop.now + seconds, look)
+        return self._next.set(LOOK_EVERY, self._check)
 
     def _check(self) -> None:
         if self._loop.now - self._heard > (SILENCE if self._status else FIRST_WORD):
             return self._again("silent")
-        return self._look_in(LOOK_EVERY, self._check)
+        return self._next.set(LOOK_EVERY, self._check)
 
     def _again(self, why: str) -> None:
         self._loop.log("discovery watch lost", f"{why}; again in {self._wait:.2f} s")
         self.close()
-        self._look_in(self._wait, self._connect)
+        self._next.set(self._wait, self._connect)
         self._wait = min(2 * self._wait, AGAIN[1])
 
     def close(self) -> None:
-        self._loop.deadlines.cancel(self._next)
+        self._next.cancel()
         if self._channel is not None:
             self._channel.abort()
             self._channel = None
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -13,9 +13,8 @@
 from ..channel import Channel
 from ..config import Address
 from ..core.ending import Ending
-from ..deadlines import Deadline
 from ..front import AttemptsOut
-from ..loop import Loop
+from ..loop import Loop, Timer
 from ..pool import Pool
 from ..registry import Registry
 from . import http
@@ -25,7 +24,7 @@
 ANSWER_LIMIT = 64 * 1024  # bytes of an answer that is not a stream
 REST = 0.03  # s that a kept connection stands before its next exchange
 UNFINISHED = 1.0  # s in which a head, a chunk or an event that has begun must go on to its end
-REPORT = "X-Pressure"
+REPORT = "x-pressure"
 REPORT_COMMENT = b": X-Pressure:"
 
 
@@ -56,10 +55,10 @@
         self._head_size = 0
         self._in_head = self._begun = self._in_chunk = self._complete = self._reusable = False
         self.channel = Channel.connect(pool.loop, address, self)
-        self._timer: Deadline | None = None
+        self._timer = Timer(pool.loop)  # to come up, and for what has begun to end
         self._heard = 0.0
-        self._still: Deadline | None = None  # for a running stream to say something
-        self._look_in(pool.connect_timeout, self._too_late)
+        self._still = Timer(pool.loop)  # for a running stream to say something
+        self._timer.set(pool.connect_timeout, self._too_late)
 
     @property
     def written(self) -> bool:
@@ -76,23 +75,16 @@
 
     def close(self) -> None:
         self.exchange = self._parser = None  # the parser knows this object, too
-        self._no_timer()
-        self.pool.loop.deadlines.cancel(self._still)
+        self._timer.cancel()
+        self._still.cancel()
         self.channel.abort()
         self.pool.forget(self)
 
-    def _look_in(self, seconds: float, look: Callable[[], None]) -> None:
-        self._timer = self.pool.loop.deadlines.set(self.pool.loop.now + seconds, look)
-
-    def _no_timer(self) -> None:
-        self.pool.loop.deadlines.cancel(self._timer)
-        self._timer = None
-
     # ---- the channel ----
 
     def connected(self) -> None:
         self.up = True
-        self._no_timer()
+        self._timer.cancel()
 
     def _too_late(self) -> None:
         self._broken(Ending.CONNECT_SILENT)
@@ -120,8 +112,8 @@
 
     def _whole(self) -> None:
         exchange, self.exchange = self.exchange, None
-        self._no_timer()
-        self.pool.loop.deadlines.cancel(self._still)
+        self._timer.cancel()
+        self._still.cancel()
         if self._reusable and self.written:
             self.pool.keep(self)
         else:
@@ -134,10 +126,10 @@
         if self.exchange is None:
             return
         if (self._begun and self._in_head) or self._in_chunk or self.exchange.unfinished:
-            if self._timer is None:
-                self._look_in(UNFINISHED, self._stuck)
+            if not self._timer.running:
+                self._timer.set(UNFINISHED, self._stuck)
         else:
-            self._no_timer()
+            self._timer.cancel()
 
     def _watch_stream(self) -> None:
         """A running stream has no deadline, and a machine that has fallen silent never ends one."""
@@ -145,13 +137,12 @@
             self._heard = self.pool.loop.now
         left = self._heard + STILL - self.pool.loop.now
         if left > 0:
-            self._still = self.pool.loop.deadlines.set(self.pool.loop.now + left, self._watch_stream)
+            self._still.set(left, self._watch_stream)
         else:
             self.pool.log("stream stands still", f"{self.address[0]}:{self.address[1]}")
             self._broken(Ending.WORKER_STALLED)
 
     def _stuck(self) -> None:
-        self._timer = None
         if self.channel.paused:  # by us, since the client is slow
             return self._watch_progress()
         return self._garbled("it began and did not go on to its end")
@@ -208,7 +199,7 @@
 
     def on_chunk_complete(self) -> None:
         self._in_chunk = False
-        self._no_timer()  # it goes on; an event over many chunks is bounded by its size
+        self._timer.cancel()  # it goes on; an event over many chunks is bounded by its size
 
     def on_message_complete(self) -> None:
         if self._in_head:  # the end of an informational one
@@ -267,7 +258,8 @@
 
     def begun(self, status: int, headers: dict[str, str]) -> None:
         self._status, self._headers = status, headers
-        self._hear(headers.get(REPORT.lower(), ""))
+        if REPORT in headers:
+            self._hear(headers[REPORT])
 
     def _hear(self, text: str | bytes) -> None:
         self._load = reports.load(reports.parse(text), self.workers.columns) or self._load
