--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -16,8 +16,8 @@
 
 from .interface import (
     Action, AttemptEnded, CancelAttempt, ClientGone, Effect, Event, Fail, Group, ListKind, Load, Log,
-    MoveStream, Outcome, Probe, ProbeEnded, Refuse, ReleaseState, RequestArrived, Role, Send,
-    ServersListed, ServerState, SetTimer, Settings, StreamStarted, Subscribe, TimerFired,
+    MoveStream, Outcome, Probe, ProbeEnded, Refuse, ReleaseState, RequestArrived, Role, RoleSight, Send,
+    ServersListed, ServerState, ServiceLevel, SetTimer, Settings, StreamStarted, Subscribe, TimerFired,
 )
 from .rendezvous import Rendezvous, rank
 from .state import Attempt, Bucket, Estimate, Request, Session, Worker, drop_before
@@ -80,6 +80,8 @@
         self.ranks, self.lean = Rendezvous(ORDERS_KEPT), 1.0  # weight of readers, on average
         self.balances: dict[tuple[str, int], float] = {}
         self.running, self.streams = dict.fromkeys(Role, 0), dict.fromkeys(Role, 0)  # servers; our streams
+        self.service = ServiceLevel()
+        self.read_work = Estimate()  # readers' time that reads of ours take, s a s
         self.reading = Estimate()  # part of a mixed server's time that reads of ours take, over all of them
         self.seen: dict[str, Estimate] = {}  # how often a shared beginning came, fading
         self.pace = dict.fromkeys(Role, 0.0)  # s a token read; 0 until measured: no refusal on a guess
@@ -97,7 +99,7 @@
         self.on: dict[type, Callable[[Any, float], None]] = {
             RequestArrived: self._arrived, AttemptEnded: self._ended, StreamStarted: self._started,
             ClientGone: self._gone, ProbeEnded: self._probed, ServersListed: self._listed,
-            TimerFired: self._tick,
+            TimerFired: self._tick, ServiceLevel: self._level,
         }
 
     def handle(self, now: float, events: list[Event]) -> list[Action]:
@@ -112,8 +114,28 @@
             req = self.requests.get(ev.id) if isinstance(ev, RequestArrived) else None
             if req is not None and req.held and req.deadline - now < LAST_CALL + TICK:
                 self._finish(req, "no room in time")
+            elif req is not None and req.held and self.service.certain and not req.ev.resumed:
+                self._finish(req, "no certain room", gave_way=True)
         return self.acts
 
+    def _level(self, ev: ServiceLevel, now: float) -> None:
+        self.service = ev
+
+    def sight(self, now: float) -> dict[Role, RoleSight]:
+        """What the levels of service judge by: each role's servers, and how much of them is in use."""
+        return {role: self._sight(role, now) for role in Role}
+
+    def _sight(self, role: Role, now: float) -> RoleSight:
+        pool = self._pool(role, now)
+        warm = (min(1.0, self._age(w, now) / (self.s.cold_time or 1.0)) for w in pool)
+        usable = sum(max(self.s.cold_from, part) for part in warm)
+        if role is Role.READER:
+            busy = self.read_work.faded(now, WORK_MEMORY) * self.s.instances / max(usable, self.s.cold_from)
+        else:
+            out = sum(w.streams for w in pool)
+            busy = out / (out + self._all_room(pool, now)) if out else 0.0
+        return RoleSight(self.running[role], usable, busy)
+
     def _listed(self, ev: ServersListed, now: float) -> None:
         if ev.kind is ListKind.FAILED:  # ask again, later each time; the old list stays good meanwhile
             self.ask_at = now + self.ask_wait if self.s.subscribe else math.inf
@@ -176,6 +198,8 @@
             rate = self.s.tenants[ev.tenant].quota_per_s / self.s.instances
             req.over = not self.quota[ev.tenant].take(rate, max(SHARE_LEAST, rate * SHARE_BURST), now)
         self.serial, self.held = self.serial + 1, self.held + 1
+        if ev.admit < 1.0 and self.random.random() >= ev.admit:
+            return self._finish(req, f"gave way at {self.service.name or 'full'}", gave_way=True)
         heapq.heappush(self.by_cst, (req.over, req.cst, self.serial, req))
         if not req.over:
             heapq.heappush(self.by_lift, (now + LIFT * req.cst, self.serial, req))
@@ -374,8 +398,10 @@
         return failing and w.role is not Role.READER and now - w.failed_at < DOUBT_FOR
 
     def _cold(self, w: Worker, now: float) -> bool:
-        start = w.info.started if w.info.started is not None else w.listed
-        return now - start < self.s.cold_time
+        return self._age(w, now) < self.s.cold_time
+
+    def _age(self, w: Worker, now: float) -> float:
+        return now - (w.info.started if w.info.started is not None else w.listed)
 
     def _weight(self, req: Request) -> float:
         """A send's work against the mean over classes."""
@@ -431,15 +457,18 @@
         """Smoothed room over the writers (or the mixed servers), less what we have on its way there."""
         if not (pool := self._pool(Role.MIXED if mixed else Role.WRITER, now)):
             return 0.0
-        rooms = [self._room(w, now) for w in pool]
-        # Where none is heard yet the limit from told memory stands in, so that there is always a gate.
-        known = [r for r in rooms if r is not None] or [self._limit(w) - w.streams for w in pool]
-        mean = sum(known) / len(known)
-        raw = max(0.0, sum(mean if r is None else r for r in rooms))
+        raw = self._all_room(pool, now)
         old, part = self.room[mixed], 1 - math.exp(-(now - self.room_at) / SMOOTHING)
         self.room[mixed] = smooth = raw if old is None else old + part * (raw - old)
         return min(smooth, raw) if raw < 1 else smooth
 
+    def _all_room(self, pool: list[Worker], now: float) -> float:
+        """Room at servers together. Where none is heard yet the limit from told memory stands in, so that
+        there is always a gate."""
+        rooms = [self._room(w, now) for w in pool]
+        known = [r for r in rooms if r is not None] or [self._limit(w) - w.streams for w in pool]
+        return max(0.0, sum(sum(known) / len(known) if r is None else r for r in rooms))
+
     def _pump(self, now: float) -> None:
         if not self.held:
             self.by_cst, self.by_lift = [], []  # what is left was released by way of the other heap
@@ -612,6 +641,8 @@
         weight = self._weight(req)
         w.work.bump(weight / WORK_MEMORY, now, WORK_MEMORY)
         w.cold_level -= weight
+        if read:
+            self.read_work.bump(fresh * self.pace[w.role] / WORK_MEMORY, now, WORK_MEMORY)
         if w.role is Role.MIXED:
             self._remember(req, w, now)
             self.reading.bump(fresh * self.pace[w.role] / WORK_MEMORY, now, WORK_MEMORY)
@@ -644,14 +675,17 @@
                 return self._send(req, w, now, read=not whole)
         return self._finish(req, "no second reader")
 
-    def _finish(self, req: Request, why: str) -> None:
+    def _finish(self, req: Request, why: str, gave_way: bool = False) -> None:
         """Answer a request that is not served: refused where trying again is harmless, else failed."""
         self.counts[why] = self.counts.get(why, 0) + 1
         self.leaving[req.tenant] *= 1 - LEAVE_FADE  # a bounded aim must not keep itself up
         cls = self.s.classes[req.ev.cls]
         if not req.ran or cls.effect is Effect.SAFE or (cls.effect, cls.group) == (Effect.KEYED, Group.ALL):
             after = min(self.random.uniform(*RETRY_AFTER), self.s.max_retry_after)
-            self.acts.append(Refuse(req.ev.id, after if self.s.retry_advice else 0.0))
+            if self.service.name:  # spread below the longest that clients follow, later at a worse level
+                least, most = self.service.retry_after
+                after = self.random.uniform(least / most, 1.0) * min(most, self.s.max_retry_after)
+            self.acts.append(Refuse(req.ev.id, after if self.s.retry_advice else 0.0, gave_way))
         else:
             self.acts.append(Fail(req.ev.id))
         self._close(req)
--- a/hopshed/interface.py
+++ b/hopshed/interface.py
@@ -89,6 +89,7 @@
     memory_tokens: tuple[float, ...] = ()  # one for each server kind; empty = not told
     tenants: tuple[Tenant, ...] = ()
     over_share_worth: float = 1.0
+    worth_by_work: bool = False  # worth is counted for a unit of work, not for a request
     instances: int = 1
     zone: int = 0
     # What load reports may hold, in interface names (fields of Load); empty = none
@@ -154,6 +155,14 @@
     weight: float = 1.0
 
 
+class RoleSight(NamedTuple):
+    """What the module believes of one role's servers."""
+
+    listed: int  # running, by the list
+    usable: float  # of those not ejected; a cold one counts by its share
+    busy: float  # part of the usable capacity in use by this router's part of the load; over 1 = too much
+
+
 # ---- events ----
 
 
@@ -174,6 +183,8 @@
     max_tokens: float = 0.0
     length_hint: float | None = None  # seconds of streaming at the class's pace
     resumed: bool = False  # back after a broken or moved stream
+    repeat: bool = False  # the client's own repeat of a request that was not served
+    admit: float = 1.0  # share of turns like this one that the level of service has room for
 
 
 class StreamStarted(NamedTuple):
@@ -209,7 +220,19 @@
     token: int
 
 
-Event = ServersListed | RequestArrived | StreamStarted | AttemptEnded | ClientGone | ProbeEnded | TimerFired
+class ServiceLevel(NamedTuple):
+    """What the level of service asks of the module from now on; requests that it has taken go on as they
+    are."""
+
+    name: str = ""  # empty = full service: the module's own advice stands
+    retry_after: tuple[float, float] = (0.0, 0.0)  # s, least and most advice to refused clients
+    certain: bool = False  # a turn that finds no room at once is refused at once
+
+
+Event = (
+    ServersListed | RequestArrived | StreamStarted | AttemptEnded | ClientGone | ProbeEnded | TimerFired
+    | ServiceLevel
+)  # fmt: skip
 
 
 # ---- actions ----
@@ -226,6 +249,7 @@
 
     id: str
     retry_after: float = 0.0  # 0 = no advice
+    gave_way: bool = False  # refused for the level of service, not for want of room or time
 
 
 class Fail(NamedTuple):
--- a/hopshed/wire.py
+++ b/hopshed/wire.py
@@ -39,6 +39,7 @@
     "x1": ("backlog_tokens", 1000.0),
 }
 RESUMED_BIT = 16
+REPEAT_BIT = 2
 HINT_BIT = 1
 
 
@@ -86,6 +87,7 @@
         max_retry_after=(caps.get("max-retry-after-ms") or 0.0) / 1000.0,
         max_attempts=int(caps.get("send-cap") or 1),
         subscribe=env.get("membership-mode") == "subscribe",
+        worth_by_work=env.get("worth-by") == "work",
         ask_within=(contract.get("ask-within-ms") or 10000.0) / 1000.0,
         drain_grace=(contract.get("stop-sending-within-ms") or 0.0) / 1000.0,
         cold_from=contract.get("cold-from") or 1.0,
@@ -129,6 +131,7 @@
             return i.RequestArrived(
                 msg[2], msg[3] or 0, msg[4] or 0, msg[5] or "", (msg[6] or 0.0) / 1000.0, msg[9] or 0.0,
                 msg[8] or None, msg[10] or 0.0, msg[11] or 0.0, hint, bool(flags & RESUMED_BIT),
+                bool(flags & REPEAT_BIT),
             )
         case "flowing":
             return i.StreamStarted(msg[2], msg[3], msg[4], (msg[5] or 0.0) / 1000.0)
--- a/yewhook/agent.py
+++ b/yewhook/agent.py
@@ -12,16 +12,19 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 from .channel import Channel
 from .config import Address, ConfigError, Table, address, toml
 from .config import read as read_config
+from .control import pin_of
 from .dnssd import ServiceInstance, master_file
 from .front import ClientConnections
 from .jsonrpc import Code, Handler, Id, Peer, RpcError, encode
 from .loop import Loop
+from .operators import read as read_settings
 from .service import Acceptor, listen
 from .toolcalls.config import read as read_toolcalls
 
@@ -30,9 +33,10 @@
 PROBE_EVERY, PROBE_PATIENCE, PROBES_LOST = 0.5, 1.0, 3  # s, s, lost in a row until an instance is not ready
 BACKOFF, BACKOFF_MOST = 0.2, 10.0  # s until a restart, doubling
 STEADY = 10.0  # s of good service after which the next restart is quick again
+ASK_PATIENCE = 1.0  # s that a router may take to answer on its line to the agent
 KEYS = {
     "agent": {"listen", "records", "domain", "service", "grace_s"},
-    "instance": {"name", "config", "toolcalls"},
+    "instance": {"name", "config", "toolcalls", "settings"},
 }
 
 
@@ -52,10 +56,14 @@
     name: str
     config: Path | None  # the platform's front, if it has one
     toolcalls: Path | None
+    settings: Path | None  # the operators' file, if it goes by one
     fronts: Mapping[str, Address]
 
-    def command(self) -> list[str]:
-        command = [sys.executable, "-m", "yewhook", "serve"]
+    def command(self, control: int) -> list[str]:
+        """What starts it; `control` is the descriptor of its line to the agent."""
+        command = [sys.executable, "-m", "yewhook", "serve", "--control-fd", str(control)]
+        if self.settings is not None:
+            command += ["--service", str(self.settings)]
         if self.config is None:
             command.append("--no-platform")
         if self.toolcalls is not None:
@@ -98,6 +106,9 @@
     name = table.text("name")
     config = table.file("config") if "config" in table.raw else None
     toolcalls = table.file("toolcalls") if "toolcalls" in table.raw else None
+    settings = table.file("settings") if "settings" in table.raw else None
+    if settings is not None:
+        read_settings(settings)
     fronts = {}
     if config is not None:
         fronts["platform"] = read_config({"PROXY_CONFIG": str(config)}).listen
@@ -105,7 +116,7 @@
         fronts["toolcalls"] = read_toolcalls(toolcalls).listen
     if not fronts:
         raise ConfigError(f"{table.path}: instance {name!r} has neither a config nor a toolcalls file")
-    return Spec(name, config, toolcalls, fronts)
+    return Spec(name, config, toolcalls, settings, fronts)
 
 
 class Probe:
@@ -149,6 +160,64 @@
             self._answered(well)
 
 
+class Line:
+    """The agent's line to one router: asks how it stands, and tells it what operators want."""
+
+    def __init__(self, loop: Loop) -> None:
+        ours, self._theirs = socket.socketpair()
+        self._loop = loop
+        self._peer = Peer.accepted(loop, ours, self)
+        self.status: dict[str, Any] = {}  # as last heard
+        self._asking = self.closed = False
+
+    @property
+    def descriptor(self) -> int:
+        """Of the router's end, for its process to inherit."""
+        return self._theirs.fileno()
+
+    def inherited(self) -> None:
+        self._theirs.close()
+
+    def look(self) -> None:
+        """Ask how it stands, unless the last question still waits."""
+        if not self._asking and not self.closed:
+            self._asking = True
+            self._peer.ask("router/status", {}, self._heard, ASK_PATIENCE)
+
+    def _heard(self, result: Any, error: RpcError | None) -> None:
+        self._asking = False
+        if error is None and isinstance(result, dict):
+            self.status = result
+
+    def tell(self, method: str, params: dict[str, Any], told: Callable[[bool], None]) -> None:
+        if self.closed:
+            return told(False)
+
+        def heard(result: Any, error: RpcError | None) -> None:
+            self._heard(result, error)
+            told(error is None)
+
+        self._peer.ask(method, params, heard, ASK_PATIENCE)
+        return None
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self._peer.close()
+
+    def request(self, peer: Peer, request_id: Id, method: str, params: dict[str, Any]) -> None:
+        raise RpcError(Code.METHOD_NOT_FOUND, "a router asks nothing of its agent")
+
+    def notification(self, peer: Peer, method: str, params: dict[str, Any]) -> None:
+        """Routers announce nothing."""
+
+    def gone(self, peer: Peer) -> None:
+        self.closed = True
+
+    def slow(self, peer: Peer, slow: bool) -> None:
+        """Questions are short."""
+
+
 class Instance:
     """One router's process and what is known of it."""
 
@@ -164,6 +233,7 @@
         self._tell = False  # to read its files anew, once it can be told
         self._probing: dict[str, bool] = {}
         self._probe_at, self._lost = 0.0, 0
+        self.line: Line | None = None
 
     @property
     def running(self) -> bool:
@@ -178,17 +248,30 @@
         if self.running:
             self._again = self.state is State.STOPPING
             return
+        line = self.line = Line(self._loop)
         try:
             self._process = subprocess.Popen(
-                self.spec.command(), env=self.spec.environ(), stdin=subprocess.DEVNULL, cwd=Path.cwd()
+                self.spec.command(line.descriptor),
+                env=self.spec.environ(),
+                stdin=subprocess.DEVNULL,
+                cwd=Path.cwd(),
+                pass_fds=(line.descriptor,),
             )
         except OSError as error:
             self._loop.log("instance not started", f"{self.spec.name}: {error}")
+            self._hang_up()
             return self._wait()
+        finally:
+            line.inherited()
         self._lost, self._probing, self._probe_at = 0, {}, self._loop.now
         self._loop.log("instance started", f"{self.spec.name} pid {self._process.pid}")
         return self._to(State.STARTING)
 
+    def _hang_up(self) -> None:
+        if self.line is not None:
+            self.line.close()
+            self.line = None
+
     def _wait(self) -> None:
         self._due = self._loop.now + self._backoff
         self._backoff = min(2 * self._backoff, BACKOFF_MOST)
@@ -221,12 +304,14 @@
         if self._process is not None:
             self._process.wait()
             self._process = None
+        self._hang_up()
 
     def look(self) -> None:
         """See whether its process has ended or is to be started, and whether it answers."""
         now = self._loop.now
         if self._process is not None and (code := self._process.poll()) is not None:
             self._process = None
+            self._hang_up()
             if self.state is State.STOPPING:
                 self._to(State.STOPPED)
                 return self.start() if self._again else None
@@ -260,6 +345,8 @@
         self._lost = 0 if well else self._lost + 1
         if well:
             self._to(State.READY)
+            if self.line is not None:
+                self.line.look()
             if self._tell and self._process is not None:
                 self._tell = False
                 self._process.send_signal(signal.SIGHUP)
@@ -275,6 +362,7 @@
             "restarts": self.restarts,
             "since_s": round(self._loop.now - self._since, 1),
             "listen": {front: f"{host}:{port}" for front, (host, port) in self.spec.fronts.items()},
+            "levels": self.line.status.get("levels") if self.line is not None else None,
         }
 
 
@@ -335,6 +423,13 @@
         if method == "agent/status":
             instances = [instance.report() for instance in self.instances.values()]
             return peer.result(request_id, {"instances": instances})
+        if method == "levels/show":
+            keys = ("name", "state", "levels")
+            reports = [instance.report() for instance in self.instances.values()]
+            shown = [{key: report[key] for key in keys} for report in reports]
+            return peer.result(request_id, {"instances": shown})
+        if method in ("levels/pin", "levels/unpin"):
+            return self._tell_levels(peer, request_id, method, params)
         if method == "agent/shutdown":
             self._stop()
             return peer.result(request_id, {})
@@ -351,6 +446,32 @@
         actions[method](instance)
         return peer.result(request_id, instance.report())
 
+    def _tell_levels(self, peer: Peer, request_id: Id, method: str, params: dict[str, Any]) -> None:
+        """Tell one router or all; the answer names those that were told and those that could not be."""
+        name = params.get("name")
+        wanted = [one for one in self.instances.values() if name is None or one.spec.name == name]
+        if not wanted:
+            raise RpcError(Code.INVALID_PARAMS, f"no instance named {name!r}")
+        if method == "levels/pin":
+            pin_of(params)  # a mistake is told once, by the agent
+        told: dict[str, bool] = {}
+
+        def heard(name: str, well: bool) -> None:
+            told[name] = well
+            if len(told) == len(wanted):
+                done = {
+                    "told": sorted(n for n in told if told[n]),
+                    "not_told": sorted(n for n in told if not told[n]),
+                }
+                peer.result(request_id, done)
+
+        for one in wanted:
+            hear = partial(heard, one.spec.name)
+            if one.line is None:
+                hear(False)
+            else:
+                one.line.tell(method, params, hear)
+
     def notification(self, peer: Peer, method: str, params: dict[str, Any]) -> None:
         """Nothing is announced to the agent."""
 
--- a/yewhook/channel.py
+++ b/yewhook/channel.py
@@ -38,7 +38,8 @@
         loop.sockets += 1
         loop.accepted += self._accepted
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if sock.family == socket.AF_INET:  # a pair of sockets to the agent is no TCP
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._watch()
 
     @classmethod
--- a/yewhook/cli.py
+++ b/yewhook/cli.py
@@ -7,52 +7,78 @@
 import secrets
 from functools import partial
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 import typer
 
 from . import __version__
-from .config import Address, ConfigError, Limits, address
+from .commands.ask import AGENT, At, ask_agent, complaint
+from .commands.lab import lab
+from .commands.levels import level_of, levels
+from .config import Address, ConfigError, Limits
 from .config import read as read_config
-from .jsonrpc import RpcError
+from .front import RouterFront
 from .log import Log
+from .oversight import Oversight
 from .platform.front import PlatformFront
-from .service import Front, Room, Service
+from .service import Room, Service
+from .settings import ServiceSettings
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, help="A router for model servers.")
 
 
-def _complaint(error: object) -> typer.Exit:
-    typer.echo(f"yewhook: {error}", err=True)
-    return typer.Exit(2)
+app.add_typer(levels, name="levels")
+app.add_typer(lab, name="lab")
 
 
 @app.command()
 def serve(
     platform: Annotated[bool, typer.Option(help="Serve the platform, as PROXY_CONFIG says.")] = True,
     toolcalls: Annotated[Path | None, typer.Option(help="Serve tool calls too, as this file says.")] = None,
+    settings: Annotated[Path | None, typer.Option("--service", help="The operators' file.")] = None,
+    control_fd: Annotated[int | None, typer.Option(hidden=True, help="The agent's line to it.")] = None,
 ) -> None:
     """Run one router until SIGTERM."""
     name = os.environ.get("PROXY_NAME", "router")
     service = Service(Log(name))
     service.heed_signals()
+    fronts: list[RouterFront] = []
     try:
+        read_settings = partial(_settings, settings)
+        operators = read_settings()
+        service.log.use(operators.log)
         config = read_config(os.environ) if platform else None
         limits = config.limits if config else Limits()
         room = Room(service.loop, limits)
         if config is not None:
             again = partial(read_config, os.environ, again=True)
-            service.fronts.append(PlatformFront(service.loop, config, room, again))
+            fronts.append(PlatformFront(service.loop, config, room, again))
         if toolcalls is not None:
-            service.fronts.append(_toolcalls(service, toolcalls, room))
+            fronts.append(_toolcalls(service, toolcalls, room))
+        oversight = Oversight(service.loop, service.log, limits, fronts, operators, read_settings)
     except (ConfigError, OSError) as error:
-        raise _complaint(error) from None
-    if not service.fronts:
-        raise _complaint("nothing to serve: --no-platform and no --toolcalls")
+        raise complaint(error) from None
+    if not fronts:
+        raise complaint("nothing to serve: --no-platform and no --toolcalls")
+    service.fronts += fronts
+    service.files.append(oversight.reload)
+    if control_fd is not None:
+        from .control import Control
+
+        Control(service.loop, control_fd, oversight)
     service.run()
 
 
-def _toolcalls(service: Service, path: Path, room: Room) -> Front:
+def _settings(path: Path | None) -> ServiceSettings:
+    """What the operators' file says, or what holds without one."""
+    if path is None:
+        return ServiceSettings()
+    from .operators import read  # the checking of it costs memory, which those without a file keep
+
+    return read(path)
+
+
+def _toolcalls(service: Service, path: Path, room: Room) -> RouterFront:
     # Only this front needs a DNS library, and a router of the platform has little memory.
     from .toolcalls.config import read
     from .toolcalls.front import ToolCallsFront
@@ -70,6 +96,7 @@
 def check(
     toolcalls: Annotated[Path | None, typer.Option(help="A tool-calls file.")] = None,
     fleet: Annotated[Path | None, typer.Option(help="A fleet file, with all that it names.")] = None,
+    settings: Annotated[Path | None, typer.Option("--service", help="An operators' file.")] = None,
 ) -> None:
     """Read configuration files and say what they hold: those named, else the one of PROXY_CONFIG."""
     try:
@@ -84,12 +111,16 @@
             file = read_fleet(fleet)
             names = ", ".join(spec.name for spec in file.instances)
             typer.echo(f"{fleet}: the agent listens on {_place(file.listen)} and runs {names}")
-        if toolcalls is None and fleet is None:
+        if settings is not None:
+            file_levels = _settings(settings).levels
+            used = ", ".join(level.label for level in file_levels.known)
+            typer.echo(f"{settings}: levels of service are {file_levels.mode.value}: {used}")
+        if toolcalls is None and fleet is None and settings is None:
             config = read_config(os.environ)
             known = len(config.known.get("instances") or [])
             typer.echo(f"{config.name}: listens on {_place(config.listen)}, {known} known workers")
     except ConfigError as error:
-        raise _complaint(error) from None
+        raise complaint(error) from None
 
 
 def _place(address: Address) -> str:
@@ -104,7 +135,7 @@
     try:
         found = Records(file, domain.rstrip(".") + ".").browse(service)
     except RecordsError as error:
-        raise _complaint(error) from None
+        raise complaint(error) from None
     for one in found:
         texts = " ".join(f"{key}={value}" for key, value in one.texts.items())
         typer.echo(f"{one.name}\t{_place(one.address)}\t{texts}")
@@ -121,64 +152,48 @@
     try:
         runner = Agent(service.loop, read_fleet(fleet), service.drain, partial(read_fleet, fleet))
     except (ConfigError, OSError) as error:
-        raise _complaint(error) from None
+        raise complaint(error) from None
     service.fronts.append(runner)
     service.run()
 
 
-At = Annotated[str, typer.Option("--agent", help="Where the agent listens.")]
-AGENT = "127.0.0.1:7400"
-
-
-def _ask(at: str, method: str, **params: str) -> Any:
-    from .agent import ask
-
-    try:
-        return ask(address(at, "--agent"), method, params)
-    except ConfigError as error:
-        raise _complaint(error) from None
-    except RpcError as error:
-        typer.echo(f"yewhook: {error.message}", err=True)
-    except OSError as error:
-        typer.echo(f"yewhook: no agent answers at {at}: {error}", err=True)
-    raise typer.Exit(1)
-
-
 @app.command()
 def status(
     at: At = AGENT, as_json: Annotated[bool, typer.Option("--json", help="As JSON.")] = False
 ) -> None:
     """Show the routers that an agent runs."""
-    instances = _ask(at, "agent/status")["instances"]
+    instances = ask_agent(at, "agent/status")["instances"]
     if as_json:
         typer.echo(json.dumps(instances, indent=2))
         return
     for one in instances:
         where = " ".join(f"{front}={place}" for front, place in one["listen"].items())
         since = f"{one['state']} for {one['since_s']:.0f} s"
-        typer.echo(f"{one['name']}\t{since}\tpid {one['pid'] or '-'}\t{one['restarts']} restarts\t{where}")
+        service = " ".join(level_of(front, told) for front, told in (one["levels"] or {}).items())
+        line = [one["name"], since, f"pid {one['pid'] or '-'}", f"{one['restarts']} restarts", where, service]
+        typer.echo("\t".join(line).rstrip())
 
 
 @app.command()
 def start(name: str, at: At = AGENT) -> None:
     """Start a router that is stopped."""
-    typer.echo(f"{name} {_ask(at, 'agent/start', name=name)['state']}")
+    typer.echo(f"{name} {ask_agent(at, 'agent/start', name=name)['state']}")
 
 
 @app.command()
 def stop(name: str, at: At = AGENT) -> None:
     """Let a router finish what it has taken, and keep it stopped."""
-    typer.echo(f"{name} {_ask(at, 'agent/stop', name=name)['state']}")
+    typer.echo(f"{name} {ask_agent(at, 'agent/stop', name=name)['state']}")
 
 
 @app.command()
 def restart(name: str, at: At = AGENT) -> None:
     """Let a router finish what it has taken, and start it anew."""
-    typer.echo(f"{name} {_ask(at, 'agent/restart', name=name)['state']}")
+    typer.echo(f"{name} {ask_agent(at, 'agent/restart', name=name)['state']}")
 
 
 @app.command()
 def shutdown(at: At = AGENT) -> None:
     """Let all routers finish, and end the agent."""
-    _ask(at, "agent/shutdown")
+    ask_agent(at, "agent/shutdown")
     typer.echo("shutting down")
--- /dev/null
+++ b/yewhook/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Sub-commands of the command line, a module for each group."""
--- /dev/null
+++ b/yewhook/control.py
@@ -0,0 +1,57 @@
+"""The agent's line to one of its routers: JSON-RPC over a pair of sockets that the router's process
+inherits."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+from .jsonrpc import Code, Id, Peer, RpcError
+from .levels.level import Level
+from .loop import Loop
+from .oversight import Oversight
+
+PIN_MOST = 7 * 86400.0  # s for which a level may be pinned
+
+
+class Control:
+    """The router's end. Without an agent there is none."""
+
+    def __init__(self, loop: Loop, descriptor: int, oversight: Oversight) -> None:
+        self._oversight = oversight
+        self._peer = Peer.accepted(loop, socket.socket(fileno=descriptor), self)
+
+    def request(self, peer: Peer, request_id: Id, method: str, params: dict[str, Any]) -> None:
+        if method == "levels/pin":
+            self._oversight.pin(*pin_of(params))
+        elif method == "levels/unpin":
+            self._oversight.unpin()
+        elif method != "router/status":
+            raise RpcError(Code.METHOD_NOT_FOUND, f"unknown method {method!r}")
+        peer.result(request_id, self._oversight.report())
+
+    def notification(self, peer: Peer, method: str, params: dict[str, Any]) -> None:
+        """The agent announces nothing."""
+
+    def gone(self, peer: Peer) -> None:
+        """The agent has ended; the router serves on."""
+
+    def slow(self, peer: Peer, slow: bool) -> None:
+        """Reports are short."""
+
+
+def pin_of(params: dict[str, Any]) -> tuple[Level, float, str]:
+    """Level, seconds and reason of a request to pin. Raises RpcError."""
+    try:
+        level = Level.named(str(params.get("level")))
+    except KeyError:
+        names = ", ".join(level.label for level in Level)
+        raise RpcError(
+            Code.INVALID_PARAMS, f"level: got {params.get('level')!r}, expected one of {names}"
+        ) from None
+    seconds, reason = params.get("for_s"), params.get("reason")
+    if isinstance(seconds, bool) or not isinstance(seconds, int | float) or not 0 < seconds <= PIN_MOST:
+        raise RpcError(Code.INVALID_PARAMS, f"for_s: got {seconds!r}, expected seconds up to {PIN_MOST:.0f}")
+    if not isinstance(reason, str) or not reason.strip():
+        raise RpcError(Code.INVALID_PARAMS, f"reason: got {reason!r}, expected a text")
+    return level, float(seconds), reason.strip()
--- a/yewhook/core/ports.py
+++ b/yewhook/core/ports.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
-from hopshed.interface import Load
+from hopshed.interface import Action, Event, Load, Role, RoleSight
 
 from .ending import Ending
 
@@ -55,3 +56,18 @@
     def ended(
         self, request_id: str, number: int, ending: Ending, note: int = 0, load: Load | None = None
     ) -> None: ...
+
+
+class Governor(Protocol):
+    """Judges the service as a whole, beside the module, which goes on to decide on each request."""
+
+    def before(
+        self, now: float, events: Sequence[Event], sight: Callable[[float], dict[Role, RoleSight]]
+    ) -> list[Event]:
+        """The events that the module is to hear of this turn."""
+
+    def after(self, now: float, actions: Sequence[Action]) -> None:
+        """What the module did with them."""
+
+    def start_over(self) -> None:
+        """The module failed and begins anew."""
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -9,7 +9,7 @@
 import traceback
 from collections.abc import Callable
 from functools import partial
-from typing import Any
+from typing import Any, TypeVar
 
 from hopshed import Controller
 from hopshed import interface as i
@@ -18,8 +18,9 @@
 from ..log import Log
 from .ending import MAY_HOLD, NO_STATE_NOTE, OUTCOMES, Ending
 from .life import Attempt, Life, Stage
-from .ports import Client, Workers
+from .ports import Client, Governor, Workers
 
+T = TypeVar("T")
 ANSWER_GRACE = 0.02  # s after its deadline at which a request that the module left open is answered
 FORGET = 30.0  # s after which a server that is gone is forgotten: no rule and no request reaches back as far
 LET_GO = 0.8  # part of the release limit after which the core lets go of what the module forgot
@@ -36,6 +37,7 @@
         log: Log,
     ) -> None:
         self.settings, self.workers, self.log = settings, workers, log
+        self.governor: Governor | None = None  # levels of service, where they are on
         self.lives: dict[str, Life] = {}
         self.servers: dict[int, i.Server] = {}
         self._module = Controller(settings, seed)
@@ -184,7 +186,11 @@
                 if isinstance(event, i.RequestArrived) and (life := self.lives.get(event.id)):
                     life.stage = Stage.DECIDING if life.stage is Stage.ACCEPTED else life.stage
             try:
-                for act in self._module.handle(now, events):
+                heard = events
+                events = self._governed(lambda g: g.before(now, heard, self._module.sight), heard)
+                actions = self._module.handle(now, events)
+                self._governed(lambda g: g.after(now, actions), None)
+                for act in actions:
                     self._do[type(act)](act)
             except Exception:
                 self.log("turn failed", traceback.format_exc().replace("\n", " | "))
@@ -194,15 +200,37 @@
             self._settle(life)
         return bool(self._facts)
 
+    def govern(self, governor: Governor | None) -> None:
+        """Go on with this governor, or with none; it hears of the fleet before anything else."""
+        self.governor = governor
+        self._facts.append(i.ServiceLevel())
+        if governor is not None:
+            self._facts.append(i.ServersListed(i.ListKind.FULL, self._listed()))
+
+    def _listed(self) -> tuple[i.Server, ...]:
+        return tuple(s for s in self.servers.values() if s.state is not i.ServerState.GONE)
+
+    def _governed(self, ask: Callable[[Governor], T], otherwise: T) -> T:
+        """Ask the governor, if there is one. One that fails is given up: service goes on in full."""
+        if self.governor is None:
+            return otherwise
+        try:
+            return ask(self.governor)
+        except Exception:
+            self.log("levels failed", traceback.format_exc().replace("\n", " | "))
+            self.govern(None)
+            return otherwise
+
     def _start_over(self) -> None:
         """The module failed half-way: answer what waits on it, and go on with a fresh one."""
         for life in list(self.lives.values()):
             if life.unanswered:
                 self._decline(life, 0.0)
+        if self.governor is not None:
+            self.governor.start_over()
         self._deadlines.cancel(self._module_timer)
         self._module = Controller(self.settings, self._seed)
-        kept = tuple(s for s in self.servers.values() if s.state is not i.ServerState.GONE)
-        self._facts = [i.ServersListed(i.ListKind.FULL, kept)]
+        self._facts = [i.ServersListed(i.ListKind.FULL, self._listed())]
 
     # ---- the module's actions ----
 
--- a/yewhook/front.py
+++ b/yewhook/front.py
@@ -5,7 +5,7 @@
 import socket
 import time
 from collections.abc import Callable
-from typing import Any, Generic, Protocol, TypeVar
+from typing import TYPE_CHECKING, Any, Generic, Protocol, TypeVar
 
 from hopshed import interface as i
 
@@ -13,11 +13,17 @@
 from .core.ending import Ending
 from .core.ports import Told, Workers
 from .core.router import Router
+from .levels.ladder import Change
+from .levels.level import Vitals
+from .levels.settings import LevelsSettings, Mode
 from .loop import Loop
 from .registry import Registry
 from .releases import Ask, Releases
 from .service import Acceptor, Room, listen
 
+if TYPE_CHECKING:
+    from .levels.governor import Governor
+
 GRACE_MOST = 3.0  # s; the platform grants the longest patience of a class, and no more than this
 ROOM_STEP = 32  # idle connections closed at a time when sockets run out
 IDLE_LEAST = 2.0  # s that a connection is left open on which nothing is asked, however short room is
@@ -126,6 +132,8 @@
 
 
 class RouterFront:
+    whose = ""  # clients, in a word
+
     def __init__(
         self, loop: Loop, settings: i.Settings, names: Names, ask: Ask, latest: Callable[[], list[Address]]
     ) -> None:
@@ -133,9 +141,11 @@
         self.grace = min(GRACE_MOST, max(c.patience for c in settings.classes))
         self.registry = Registry(names, time.monotonic() - time.time(), loop.log)
         self.releases = Releases(loop, ask, latest, self.registry.running)
+        self.levels: Governor | None = None
 
     def route(self, workers: TellingWorkers, seed: int) -> None:
         """Give the front its router."""
+        self._seed = seed
         self.router = Router(
             self._settings, seed, self.loop.deadlines, lambda: self.loop.now, workers, self.loop.log
         )
@@ -157,6 +167,30 @@
     def reload(self) -> Callable[[], str]:
         raise NotImplementedError
 
+    @property
+    def register_age(self) -> float:
+        """s since the last word of whoever lists the workers."""
+        raise NotImplementedError
+
+    def set_levels(
+        self, settings: LevelsSettings, vitals: Callable[[], Vitals], changed: Callable[[Change], None]
+    ) -> None:
+        """Put settings of the levels of service in force, at the start or while it runs."""
+        if settings.mode is Mode.OFF:
+            if self.levels is not None:
+                self.levels = None
+                self.router.govern(None)
+        elif self.levels is None:
+            from .levels.governor import Governor  # where they are off, nothing is paid for them
+
+            def seen() -> Vitals:
+                return vitals()._replace(register_age=self.register_age)
+
+            self.levels = Governor(self._settings, settings, self._seed, self.loop.now, seen, changed)
+            self.router.govern(self.levels)
+        else:
+            self.levels.configure(settings, self.loop.now)
+
     def drain(self) -> None:
         """Clients that are not told beforehand connect elsewhere when this end hangs up."""
 
--- /dev/null
+++ b/yewhook/levels/turns.py
@@ -0,0 +1,127 @@
+"""What a turn is to the levels: its kind, its work, and what its refusal would lose."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import NamedTuple
+
+from hopshed.interface import RequestArrived, Settings
+from hopshed.state import Bucket
+
+from .estimators import Mean, Recent
+
+READ_COST = 1.0 / 12.0  # work of a prompt token that has to be read, where that of an answer's token is 1
+GAIN = 0.02  # weight of a sample in the means
+FRESH_FIRST = {
+    True: 0.35,
+    False: 0.8,
+}  # part of a prompt to be read, for sessions under way and others, at first
+SESSION_SPAN = 60.0  # s for which a session counts as under way, at least
+SHARE_BURST, SHARE_LEAST = 3.0, 3.0  # s of a client's quota, and turns at least, that may come at once
+
+
+class Standing(IntEnum):
+    """What refusing a turn now would lose, the most first."""
+
+    BACK = 0  # the rest of a stream that broke: all that was answered
+    UNDER_WAY = 1  # a session's further turn: the text that is kept for it
+    NEW = 2
+    REPEAT = 3  # the client's own repeat: nothing that was not lost before
+
+
+class Kind(NamedTuple):
+    cls: int
+    standing: Standing
+    over: bool  # beyond its client's share
+    long: bool  # far more work than its class's mean
+
+
+@dataclass(frozen=True, slots=True)
+class Turn:
+    kind: Kind
+    tenant: int
+    work: float  # in tokens of answer
+    worth: float  # of all of it, if answered within its aim
+    aim: float  # s
+    arrived: float
+    repeat: bool = False  # the client asks again for what was not served
+
+
+class Turns:
+    """Sorts arriving turns, and learns what they cost from those that were served."""
+
+    def __init__(self, settings: Settings, long_turn: float) -> None:
+        self.settings, self.long_turn = settings, long_turn
+        classes = len(settings.classes)
+        self._answer = [Mean(GAIN) for _ in range(classes)]  # tokens, by streams' time at the class's pace
+        self._work = [Mean(GAIN) for _ in range(classes)]
+        self._fresh = {(cls, under_way): Mean(GAIN) for cls in range(classes) for under_way in (True, False)}
+        self._sessions = Recent(SESSION_SPAN)
+        self._quota = [Bucket() for _ in settings.tenants]
+
+    def sort(self, ev: RequestArrived, now: float) -> Turn:
+        under_way = self._sessions.seen(ev.session, now)
+        work = self._work_of(ev, under_way)
+        mean = self._work[ev.cls]
+        kind = Kind(ev.cls, self._standing(ev, under_way), self._over(ev, now), self._long(work, mean))
+        mean.add(work)
+        cls = self.settings.classes[ev.cls]
+        worth = cls.worth * (work if self.settings.worth_by_work else 1.0)
+        worth *= self.settings.over_share_worth if kind.over else 1.0
+        aim = cls.aim + cls.aim_per_1k * ev.prompt_tokens / 1000.0
+        tenant = min(ev.tenant, max(0, len(self.settings.tenants) - 1))
+        return Turn(kind, tenant, work, worth, aim, now, ev.repeat)
+
+    def _long(self, work: float, mean: Mean) -> bool:
+        return mean.count > 0 and work > self.long_turn * mean.value
+
+    @staticmethod
+    def _standing(ev: RequestArrived, under_way: bool) -> Standing:
+        if ev.resumed:
+            return Standing.BACK
+        if under_way:
+            return Standing.UNDER_WAY
+        return Standing.REPEAT if ev.repeat else Standing.NEW
+
+    def _over(self, ev: RequestArrived, now: float) -> bool:
+        if ev.tenant >= len(self._quota) or self.settings.tenants[ev.tenant].quota_per_s <= 0:
+            return False
+        rate = self.settings.tenants[ev.tenant].quota_per_s / self.settings.instances
+        return not self._quota[ev.tenant].take(rate, max(SHARE_LEAST, rate * SHARE_BURST), now)
+
+    def _work_of(self, ev: RequestArrived, under_way: bool) -> float:
+        answer = min(self._answer[ev.cls].known(ev.max_tokens / 2.0), ev.max_tokens or 1e9)
+        fresh = self._fresh[ev.cls, under_way].known(FRESH_FIRST[under_way]) * ev.prompt_tokens
+        return max(1.0, answer + READ_COST * fresh)
+
+    @property
+    def mean_work(self) -> list[float]:
+        """By class."""
+        return [mean.known(1.0) for mean in self._work]
+
+    # ---- what is learnt ----
+
+    def begun(self, session: str, now: float) -> None:
+        """A turn of this session is on its way: the next ones find its text kept."""
+        self._sessions.add(session, now)
+
+    def read(self, cls: int, under_way: bool, prompt: float, kept: float) -> None:
+        if prompt > 0:
+            self._fresh[cls, under_way].add(max(0.0, 1.0 - kept / prompt))
+
+    def streamed(self, cls: int, seconds: float) -> None:
+        pace = self.settings.classes[cls].token_aim
+        if pace > 0:
+            self._answer[cls].add(seconds / pace)
+
+
+def top_classes(settings: Settings, mean_work: Sequence[float]) -> frozenset[int]:
+    """The classes of the highest worth for a unit of work; the others are the lesser ones."""
+    by_work = settings.worth_by_work
+    worth = [
+        c.worth if by_work else c.worth / max(1e-9, w)
+        for c, w in zip(settings.classes, mean_work, strict=True)
+    ]
+    return frozenset(n for n, value in enumerate(worth) if value >= 0.999 * max(worth))
--- a/yewhook/log.py
+++ b/yewhook/log.py
@@ -1,14 +1,23 @@
-"""Log lines on standard error: one event a line, and of each event only so many in a while."""
+"""Log lines on standard error, on the standard library's `logging`: one event a line, each only so often in a
+while."""
 
 from __future__ import annotations
 
+import logging
 import sys
 import time
 from dataclasses import dataclass
+from enum import Enum
+from typing import Any
 
 BURST, SPAN = 10, 10.0  # lines of one event in so many seconds
 
 
+class Form(Enum):
+    CONSOLE = "console"  # for people
+    JSON = "json"  # one object a line, for what collects logs
+
+
 @dataclass(slots=True)
 class _Window:
     since: float
@@ -16,24 +25,72 @@
     dropped: int = 0
 
 
-class Log:
-    """`event` names what happened, in fixed words that the on-call page lists; `detail` says the rest."""
+class RateLimit(logging.Filter):
+    """Lets of each event only so many lines through; the next one after that says how many were left out."""
 
-    def __init__(self, name: str) -> None:
-        self.name = name
+    def __init__(self) -> None:
+        super().__init__()
         self._windows: dict[str, _Window] = {}
 
-    def __call__(self, event: str, detail: str = "") -> None:
+    def filter(self, record: logging.LogRecord) -> bool:
         now = time.monotonic()
-        window = self._windows.get(event)
+        window = self._windows.get(record.msg)
         if window is None or now - window.since > SPAN:
             dropped = window.dropped if window else 0
-            window = self._windows[event] = _Window(now)
+            window = self._windows[record.msg] = _Window(now)
             if dropped:
-                detail += f" ({dropped} lines like this were left out)"
+                record.__dict__["left_out"] = dropped
         window.lines += 1
-        if window.lines > BURST:
-            window.dropped += 1
-            return
-        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime())
-        print(f"{stamp} {self.name} {event}{': ' + detail if detail else ''}", file=sys.stderr, flush=True)
+        window.dropped += window.lines > BURST
+        return window.lines <= BURST
+
+
+class Console(logging.Formatter):
+    converter = staticmethod(time.gmtime)
+
+    def format(self, record: logging.LogRecord) -> str:
+        detail, left_out = record.__dict__.get("detail", ""), record.__dict__.get("left_out", 0)
+        if left_out:
+            detail += f" ({left_out} lines like this were left out)"
+        stamp = self.formatTime(record, "%Y-%m-%dT%H:%M:%S")
+        return f"{stamp} {record.name} {record.msg}{': ' + detail if detail else ''}"
+
+
+def _formatter(form: Form) -> logging.Formatter:
+    if form is Form.CONSOLE:
+        return Console()
+    from pythonjsonlogger.json import JsonFormatter  # only those who ask for JSON pay for it
+
+    return JsonFormatter(
+        "%(name)s %(message)s",
+        timestamp=True,
+        rename_fields={"name": "router", "message": "event"},
+    )
+
+
+class _Stderr(logging.StreamHandler[Any]):
+    """Writes to what standard error is at the time."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.stream = sys.stderr
+        super().emit(record)
+
+
+class Log:
+    """`event` names what happened, in fixed words that the on-call page lists; `detail` says the rest, and
+    `figures` are what machines read of it."""
+
+    def __init__(self, name: str, form: Form = Form.CONSOLE) -> None:
+        self.name = name
+        self._logger = logging.Logger(name)
+        self._handler = _Stderr()
+        self._logger.addHandler(self._handler)
+        self._logger.addFilter(RateLimit())
+        self.use(form)
+
+    def use(self, form: Form) -> None:
+        """Write in this form from now on."""
+        self._handler.setFormatter(_formatter(form))
+
+    def __call__(self, event: str, detail: str = "", **figures: object) -> None:
+        self._logger.info(event, extra={"detail": detail, **figures} if detail else figures)
--- /dev/null
+++ b/yewhook/oversight.py
@@ -0,0 +1,113 @@
+"""The levels of service at the edge of the process: its vital signs, the operators' file, pins, and what is
+told."""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from .config import Limits
+from .front import RouterFront
+from .levels.ladder import Change
+from .levels.level import Level, Vitals
+from .log import Log
+from .loop import Loop
+from .settings import ServiceSettings
+
+LOOK_EVERY = 1.0  # s between looks at the process's memory
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+class VitalSigns:
+    """Descriptors and memory in use, as parts of what the process may have."""
+
+    def __init__(self, loop: Loop, limits: Limits) -> None:
+        self._loop, self._limits = loop, limits
+        self._looked, self._memory = -LOOK_EVERY, 0.0
+
+    def __call__(self) -> Vitals:
+        if self._loop.now - self._looked >= LOOK_EVERY:
+            self._looked = self._loop.now
+            resident = int(Path("/proc/self/statm").read_text().split()[1]) * PAGE
+            self._memory = resident / self._limits.memory
+        return Vitals(self._loop.sockets / self._limits.sockets, self._memory)
+
+
+class Oversight:
+    """What operators see and set of the levels at one router, on all its fronts alike."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        log: Log,
+        limits: Limits,
+        fronts: list[RouterFront],
+        settings: ServiceSettings,
+        read_again: Callable[[], ServiceSettings],
+    ) -> None:
+        self.log, self._loop, self._fronts = log, loop, fronts
+        self._vitals, self._read_again = VitalSigns(loop, limits), read_again
+        self._settings = ServiceSettings()
+        self.put_in_force(settings)
+
+    def reload(self) -> Callable[[], str]:
+        """Read the operators' file anew; raises ConfigError, and then nothing has changed."""
+        settings = self._read_again()
+
+        def put_in_force() -> str:
+            changed = settings != self._settings
+            self.put_in_force(settings)
+            return "the operators' settings are in force" if changed else ""
+
+        return put_in_force
+
+    def put_in_force(self, settings: ServiceSettings) -> None:
+        self._settings = settings
+        self.log.use(settings.log)
+        for front in self._fronts:
+            front.set_levels(settings.levels, self._vitals, self._changed)
+        pin = settings.pin
+        if pin is not None and (left := pin.until - time.time()) > 0:
+            self.pin(pin.level, left, pin.reason)
+
+    def _changed(self, change: Change) -> None:
+        """One line at each change: what to, what from, why, and how long the last one held."""
+        why = change.condition
+        if change.threshold:
+            why += f" {change.value:.2f} {'for' if why == 'calm' else 'reached'} {change.threshold:.2f}"
+        before, after = change.before.label, change.after.label
+        self.log(
+            "service level",
+            f"{before} to {after}: {why}; {before} lasted {change.lasted:.0f} s",
+            before=before,
+            after=after,
+            condition=change.condition,
+            value=round(change.value, 4),
+            threshold=change.threshold,
+            lasted_s=round(change.lasted, 1),
+        )
+
+    def pin(self, level: Level, seconds: float, reason: str) -> None:
+        for front in self._fronts:
+            if front.levels is not None:
+                front.levels.pin(level, seconds, reason, self._loop.now)
+        self.log("level pinned", f"{level.label} for {seconds:.0f} s: {reason}", level=level.label)
+
+    def unpin(self) -> None:
+        for front in self._fronts:
+            if front.levels is not None:
+                front.levels.unpin()
+        self.log("level pin ended", "by an operator")
+
+    def report(self) -> dict[str, Any]:
+        """Each front's level, for operators; None where levels are off."""
+        now = self._loop.now
+        return {
+            "levels": {
+                front.whose: front.levels.report(now) if front.levels is not None else None
+                for front in self._fronts
+            }
+        }
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -103,6 +103,7 @@
         prefix_tokens=_count(labels, "prefix_len"),
         max_tokens=_count(labels, "max_out"),
         resumed=h.get("x-resent") == "again",
+        repeat=h.get("x-resent") == "1",
     )
 
 
--- a/yewhook/platform/discovery.py
+++ b/yewhook/platform/discovery.py
@@ -34,6 +34,7 @@
         self._loop, self._address, self._generation = loop, address, generation
         self._registry, self._listed = registry, listed
         self._wait = AGAIN[0]
+        self.heard = loop.now  # when its last word came, if only that nothing has changed
         self._channel: Channel | None = None
         self._next = Timer(loop)  # the next look at this connection, or the next one
         self._connect()
@@ -48,7 +49,7 @@
     def _connect(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._line, self._status = b"", 0
-        self._heard = self._loop.now
+        self._began = self._loop.now
         try:
             self._channel = Channel.connect(self._loop, self._address, self)
         except OSError as error:
@@ -58,7 +59,7 @@
         return self._next.set(LOOK_EVERY, self._check)
 
     def _check(self) -> None:
-        if self._loop.now - self._heard > (SILENCE if self._status else FIRST_WORD):
+        if self._loop.now - max(self.heard, self._began) > (SILENCE if self._status else FIRST_WORD):
             return self._again("silent")
         return self._next.set(LOOK_EVERY, self._check)
 
@@ -84,7 +85,7 @@
         self._again(str(error or "ended"))
 
     def received(self, data: bytes) -> None:
-        self._heard = self._loop.now
+        self.heard = self._loop.now
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
--- a/yewhook/platform/front.py
+++ b/yewhook/platform/front.py
@@ -17,6 +17,8 @@
 
 
 class PlatformFront(RouterFront):
+    whose = "platform"
+
     def __init__(self, loop: Loop, config: Config, room: Room, read_again: Callable[[], Config]) -> None:
         self._config, self._read_again = config, read_again
         self.pool = pool = WorkerPool(loop, room.for_workers, config.connect_timeout, config.idle_limit)
@@ -44,6 +46,10 @@
         self.pool.keep_only(self.registry.in_use())
         self.router.listed(kind, servers)
 
+    @property
+    def register_age(self) -> float:
+        return self.loop.now - self.watch.heard
+
     def reload(self) -> Callable[[], str]:
         config = self._read_again()
 
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -126,6 +126,7 @@
     def __init__(self, log: Log, loop: Loop | None = None) -> None:
         self.log, self.loop = log, loop or Loop(log)
         self.fronts: list[Front] = []
+        self.files: list[Callable[[], Callable[[], str]]] = []  # read anew with the fronts' configurations
         self.draining = False
         self._end_at = 0.0
         self._wake: tuple[socket.socket, socket.socket] | None = None
@@ -157,9 +158,9 @@
             self.drain()
 
     def reload(self) -> None:
-        """Put new configuration files in force: those of all fronts, or none where one is not good."""
+        """Put new configuration files in force: all of them, or none where one is not good."""
         try:
-            ready = [front.reload() for front in self.fronts]
+            ready = [read() for read in [*self.files, *(front.reload for front in self.fronts)]]
         except ConfigError as error:
             self.log("reload refused", f"{error}; the configuration stays as it was")
             return
--- /dev/null
+++ b/yewhook/settings.py
@@ -0,0 +1,25 @@
+"""What the operators' file sets, as the program goes by it. Reading the file is `operators.py`'s."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .levels.level import Level
+from .levels.settings import LevelsSettings
+from .log import Form
+
+
+@dataclass(frozen=True, slots=True)
+class PinSetting:
+    level: Level
+    until: float  # Unix time
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSettings:
+    """The defaults are what holds without a file."""
+
+    log: Form = Form.CONSOLE
+    levels: LevelsSettings = field(default_factory=LevelsSettings)
+    pin: PinSetting | None = None
--- a/yewhook/toolcalls/clients.py
+++ b/yewhook/toolcalls/clients.py
@@ -55,6 +55,7 @@
         prefix_tokens=_number(params, "prefixTokens"),
         max_tokens=_number(params, "maxTokens"),
         resumed=params.get("resumed") is True,
+        repeat=params.get("repeat") is True,
     )
 
 
--- a/yewhook/toolcalls/fleet.py
+++ b/yewhook/toolcalls/fleet.py
@@ -39,6 +39,7 @@
     ) -> None:
         self._loop, self._records, self._service = loop, records, service
         self._registry, self._listed = registry, listed
+        self.looked = loop.now  # when the records were last found good
         self._read(i.ListKind.SAVED)
         loop.after(LOOK_EVERY, self._look)
 
@@ -51,6 +52,7 @@
         try:
             if self._records.refresh():
                 self._read(i.ListKind.FULL)
+            self.looked = self._loop.now
         except RecordsError as error:
             self._loop.log("records not understood", str(error))
         self._loop.after(LOOK_EVERY, self._look)
--- a/yewhook/toolcalls/front.py
+++ b/yewhook/toolcalls/front.py
@@ -18,6 +18,8 @@
 
 
 class ToolCallsFront(RouterFront):
+    whose = "toolcalls"
+
     def __init__(
         self,
         loop: Loop,
@@ -54,6 +56,10 @@
     def _tool_servers(self) -> list[ServiceInstance]:
         return self._records.browse(self._config.tool_service)
 
+    @property
+    def register_age(self) -> float:
+        return self.loop.now - self._fleet.looked
+
     def reload(self) -> Callable[[], str]:
         config = self._read_again()
         records = _records(config)
--- /dev/null
+++ b/yewlab/__init__.py
@@ -0,0 +1,2 @@
+"""The laboratory: virtual time, stand-in fleets and clients, checkers of the rules. `yewhook serve` never
+imports it."""
--- /dev/null
+++ b/yewlab/rules.py
@@ -0,0 +1,137 @@
+"""Checkers of the rules, by what crosses between routers, servers and clients. They share no code with a
+router."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from hopshed.interface import Effect, Settings
+
+SLACK = 0.05  # s that each limit is longer for what is on its way
+COLD_SLACK = 1.15  # of the budget of a cold server, for chance
+
+
+@dataclass(slots=True)
+class _Request:
+    deadline: float
+    effect: Effect
+    answers: int = 0
+    out: int = 0
+    may_have_run: bool = False
+    idle_since: float = 0.0
+    streaming: bool = False
+
+
+@dataclass(slots=True)
+class Rules:
+    """`broken` names each break; a run with any counts for nothing."""
+
+    settings: Settings
+    broken: list[str] = field(default_factory=list)
+    taken: int = 0
+    _open: dict[str, _Request] = field(default_factory=dict)
+    _told_off: dict[tuple[int, int], float] = field(default_factory=dict)
+    _cold: dict[int, deque[tuple[float, float]]] = field(default_factory=dict)
+
+    def _break(self, now: float, what: str) -> None:
+        self.broken.append(f"{now:.3f} {what}")
+
+    # ---- clients ----
+
+    def came(self, request: str, effect: Effect, deadline: float, now: float) -> None:
+        self.taken += 1
+        self._open[request] = _Request(deadline, effect, idle_since=now)
+
+    def began(self, request: str, now: float) -> None:
+        """Its answer's first event has come."""
+        one = self._open.get(request)
+        if one is None:
+            self._break(now, f"{request} answered, and nobody asks for it")
+        elif not one.streaming:
+            one.streaming = True
+            if now > one.deadline + self.settings.answer_slack + SLACK:
+                self._break(now, f"{request} begun {now - one.deadline:.3f} s after its deadline")
+
+    def answered(self, request: str, refused: bool, now: float) -> None:
+        """Its final answer; a stream that is whole or broken off counts as one."""
+        one = self._open.get(request)
+        if one is None:
+            return self._break(now, f"{request} answered twice, or never asked")
+        one.answers += 1
+        if one.answers > 1:
+            self._break(now, f"{request} answered twice")
+        late = now - one.deadline - self.settings.answer_slack - SLACK
+        if not one.streaming and late > 0:
+            self._break(now, f"{request} answered {late:.3f} s late")
+        if refused and one.effect is Effect.UNSAFE and one.may_have_run:
+            self._break(now, f"{request} refused as harmless though it may have run")
+        return None
+
+    def left(self, request: str) -> None:
+        """Its client has gone: no answer is owed."""
+        if (one := self._open.get(request)) is not None:
+            one.answers += 1
+
+    # ---- servers ----
+
+    def sent(self, router: int, request: str, server: int, reads: bool, now: float) -> None:
+        one = self._open.get(request)
+        if one is None:
+            return self._break(now, f"{request} sent, and nobody asks for it")
+        one.out += 1
+        if one.out > 1:
+            self._break(now, f"{request} has {one.out} attempts out")
+        if one.effect is Effect.UNSAFE and one.may_have_run:
+            self._break(now, f"{request} may not be repeated and was sent again")
+        if not reads:
+            one.may_have_run = True
+        told = self._told_off.get((router, server))
+        if told is not None and now - told > self.settings.drain_grace + SLACK:
+            self._break(now, f"{request} sent to {server}, told off {now - told:.3f} s before")
+        return None
+
+    def ended(self, request: str, never_ran: bool, now: float) -> None:
+        if (one := self._open.get(request)) is not None:
+            one.out -= 1
+            one.idle_since = now
+            if never_ran:  # there is one attempt out at most, and those before it had not run either
+                one.may_have_run = False
+
+    def told(self, router: int, server: int, running: bool, now: float) -> None:
+        if running:
+            self._told_off.pop((router, server), None)
+        else:
+            self._told_off.setdefault((router, server), now)
+
+    def cold(self, server: int, work: float, can: float, now: float) -> None:
+        """Work (s of the whole server's time when warm) reached a cold server that can do `can` of it a
+        second."""
+        window, multiple = self.settings.fall_window, self.settings.fall_multiple
+        recent = self._cold.setdefault(server, deque())
+        recent.append((now, work))
+        while recent[0][0] < now - window:
+            recent.popleft()
+        if sum(w for _, w in recent) > COLD_SLACK * multiple * can * window + work:
+            self._break(now, f"cold server {server} pushed over")
+
+    def held(self, request: str, now: float) -> None:
+        """A state is held for it at this moment."""
+        one = self._open.get(request)
+        limit = self.settings.release_within + SLACK + 0.3
+        if one is not None and one.out == 0 and now - one.idle_since > limit:
+            self._break(now, f"{request} has left a state held for {now - one.idle_since:.3f} s")
+            one.idle_since = now  # told once
+
+    def sweep(self, now: float) -> None:
+        """Look for what was never answered, and forget what is long over."""
+        for request, one in list(self._open.items()):
+            if (
+                one.answers == 0
+                and not one.streaming
+                and now > one.deadline + self.settings.answer_slack + SLACK
+            ):
+                self._break(now, f"{request} never answered")
+                one.answers = 1
+            if one.answers and one.out == 0 and now - one.deadline > 5.0 and now - one.idle_since > 5.0:
+                del self._open[request]
--- /dev/null
+++ b/yewlab/site.py
@@ -0,0 +1,55 @@
+"""The lab's own site: classes, clients and servers of a small fleet, with figures chosen round."""
+
+from __future__ import annotations
+
+from hopshed import interface as i
+from hopshed.interface import Role
+
+from .engines import Engine
+from .workload import Traffic
+
+CLASSES = (
+    i.RequestClass(aim=2.0, aim_per_1k=0.04, token_aim=0.07, patience=10.0, worth=2.0, late_worth=0.1),
+    i.RequestClass(
+        aim=2.5, aim_per_1k=0.04, token_aim=0.08, patience=12.0, worth=5.0, late_worth=0.3,
+        effect=i.Effect.UNSAFE,
+    ),
+)  # fmt: skip
+LOOKUP, LOG = 0, 1  # fault-lookup, service-log
+TRAFFIC = (
+    Traffic(part=0.57, turns=(1.5, 2.3), adds=(230, 520), answer=(170, 290), shared=0.7, prefix=(510, 2200)),
+    Traffic(part=0.43, turns=(3.4, 6.4), adds=(290, 770), answer=(73, 140), shared=0.8, prefix=(2800, 7500)),
+)
+ENGINES = {
+    Role.READER: Engine(Role.READER, read_rate=9_000.0, queue=24),
+    Role.WRITER: Engine(Role.WRITER, queue=16, slots=48, memory=60_000.0),
+    Role.MIXED: Engine(Role.MIXED, read_rate=6_000.0, queue=16, slots=48, memory=60_000.0),
+}
+SHARES = (0.59, 0.23, 0.18)
+
+
+def settings(quota: float, instances: int = 1) -> i.Settings:
+    """What a router is told; `quota` is turns a second that all clients' shares together hold."""
+    return i.Settings(
+        classes=CLASSES,
+        roles=(Role.READER, Role.WRITER, Role.MIXED),
+        memory_tokens=tuple(ENGINES[role].memory for role in (Role.READER, Role.WRITER, Role.MIXED)),
+        tenants=tuple(i.Tenant(quota_per_s=quota * share, share=share) for share in SHARES),
+        over_share_worth=0.1,
+        worth_by_work=True,
+        instances=instances,
+        report_fields=("memory_share", "backlog_tokens"),
+        reports_in_answers=True,
+        may_cancel=True,
+        may_resume=False,
+        retry_advice=True,
+        max_retry_after=2.0,
+        max_attempts=4,
+        drain_grace=1.0,
+        cold_from=0.25,
+        cold_time=13.0,
+        fall_multiple=2.5,
+        fall_window=1.0,
+        release_within=1.0,
+        answer_slack=0.016,
+    )
