--- a/tests/levels/test_in_the_lab.py
+++ b/tests/levels/test_in_the_lab.py
@@ -15,6 +15,7 @@
 from yewhook.levels.level import Level
 from yewhook.levels.settings import LevelsSettings, Mode
 from yewlab import site
+from yewlab.hardcases import rolling_deploy
 from yewlab.levels import LEFT, OFF, ON, Result, Run, Swing, experiment, fall
 from yewlab.simulation import TICK, Simulation
 from yewlab.workload import Clients
@@ -69,27 +70,12 @@
 
 
 def test_a_third_of_the_boxes_silent_in_a_rolling_deploy_with_a_late_register() -> None:
-    def script(run: Run) -> list[tuple[float, Callable[[], object]]]:
-        fleet = run.fleet
-        out: list[tuple[float, Callable[[], object]]] = [
-            (5.0, lambda: setattr(fleet, "register_delay", 10.0))
-        ]
-        for n, box in enumerate([*fleet.of(Role.READER), *fleet.of(Role.WRITER)]):
-            if n % 3 == 0:
-                out += [(20.0, partial(fleet.silence, box)), (45.0, partial(fleet.back, box))]
-            else:
-                out += [
-                    (15.0 + 6 * n, partial(fleet.drain, box, 3.0)),
-                    (24.0 + 6 * n, partial(fleet.back, box)),
-                ]
-        return out
-
     top = {ON.mode: 0.0, OFF.mode: 0.0}
     for settings in (ON, OFF):
         for seed in range(6):
-            run = Run(f"rolling{seed}", settings, FLEET, quota=12.0)
-            top[settings.mode] += play(run, lambda now: 7.0, 90.0, *script(run)).tally.served(site.LOG)
-            assert bool(levels(run)) == (settings is ON)
+            outcome = rolling_deploy(settings, seed)
+            assert outcome.broken == () and bool(outcome.changes) == (settings is ON)
+            top[settings.mode] += outcome.log
     assert top[ON.mode] > top[OFF.mode]
 
 
--- a/yewhook/commands/lab.py
+++ b/yewhook/commands/lab.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from pathlib import Path
 from typing import Annotated
 
 import typer
@@ -11,24 +12,46 @@
 Seed = Annotated[int, typer.Option(min=0, help="The same seed gives the same result.")]
 
 
-@lab.callback()
-def main() -> None:
-    """Keeps `lab` a group of commands."""
-
-
 @lab.command()
 def levels(
     seed: Seed = 1,
     minutes: Annotated[float, typer.Option(min=1.0, max=60.0, help="Simulated, at each threshold.")] = 10.0,
     as_json: Annotated[bool, typer.Option("--json", help="One JSON object at the end.")] = False,
+    chart: Annotated[Path | None, typer.Option(help="Draw the fall of capacity into this file.")] = None,
 ) -> None:
     """Swing load round every threshold of the levels of service, and compare with none; exit 1 if it
     fails."""
     from yewlab.levels import experiment
 
     result = experiment(seed, minutes)
+    if chart is not None:
+        from yewlab.charts import draw_fall
+
+        draw_fall(result.on, result.off, chart)
     for line in result.lines():
         typer.echo(line, err=as_json)
     if as_json:
         typer.echo(json.dumps(result.figures()))
     raise typer.Exit(0 if result.holds else 1)
+
+
+@lab.command()
+def memory(
+    root: Annotated[Path, typer.Option(help="This program's folder, or an earlier version's.")] = Path(),
+) -> None:
+    """Start routers and print what each kind holds in memory (MB) and takes to start (ms)."""
+    from yewlab.memory import measure
+
+    for cost in measure(root.resolve()):
+        typer.echo(f"{cost.what:<24} {cost.resident:6.1f} MB {cost.start:6.0f} ms")
+
+
+@lab.command()
+def hard_cases(
+    seeds: Annotated[int, typer.Option(min=1, max=100, help="Runs of each case, both ways.")] = 12,
+) -> None:
+    """Print worth, fault-lookup and service-log in hard cases, without levels of service and with."""
+    from yewlab.hardcases import compare
+
+    for line in compare(seeds):
+        typer.echo(line)
--- a/yewhook/levels/fairness.py
+++ b/yewhook/levels/fairness.py
@@ -9,8 +9,8 @@
 
 
 def max_min(demands: Sequence[float], weights: Sequence[float], capacity: float) -> list[float]:
-    """What each gets of the capacity: its demand where that is under its share, and what is left so goes to the
-    others by weight. None gets more than it asks; those of weight 0 share alike what the others leave."""
+    """What each gets of the capacity: its demand where that is under its share, and what is left so goes to
+    the others by weight. None gets more than it asks; those of weight 0 share alike what the others leave."""
     given = [0.0] * len(demands)
     scale = max(weights, default=0.0) or 1.0
     parts = [w / scale for w in weights]
--- a/yewlab/levels.py
+++ b/yewlab/levels.py
@@ -67,6 +67,7 @@
     changes: tuple[str, ...]
     broken: tuple[str, ...]
     requests: int
+    samples: tuple[tuple[float, float, int], ...] = ()  # s, load and level, where there are levels
 
 
 @dataclass(slots=True)
@@ -185,6 +186,13 @@
     def phase(now: float) -> str:
         return "whole" if now < down else "fallen" if now < up else "back"
 
+    samples: list[tuple[float, float, int]] = []
+    if (governor := run.hosted.governor) is not None:
+        for second in range(0, int(seconds), 2):
+            sim.at(
+                began + second,
+                lambda: samples.append((sim.now - began, governor.signals.load, int(governor.ladder.level))),
+            )
     clients = run.clients(lambda now: FULL_RATE, end, phase)
     sim.run(end + AFTER)
     by_phase = {
@@ -197,7 +205,7 @@
     )
     tally: Tally = clients.tally
     top = clients.tallies["fallen"].served(site.LOG)
-    return Fall(tally.worth, top, by_phase, changes, run.broken, tally.turns)
+    return Fall(tally.worth, top, by_phase, changes, run.broken, tally.turns, tuple(samples))
 
 
 @dataclass(frozen=True, slots=True)
--- a/yewlab/rules.py
+++ b/yewlab/rules.py
@@ -110,8 +110,10 @@
         self._starts[router, server] = at
 
     def cold(self, router: int, server: int, started: float, work: float, can: float, now: float) -> None:
-        """Work reached a cold server: in s of the whole server's time when warm, of which it can do `can` a
-        second. The rule is broken if two thirds of what pushed it over came from routers told of its start."""
+        """Work reached a cold server, in s of the whole server's time when warm; it can do `can` a second.
+
+        The rule is broken if two thirds of what pushed it over came from routers told of its start.
+        """
         window, multiple = self.settings.fall_window, self.settings.fall_multiple
         recent = self._cold.setdefault(server, deque())
         recent.append((now, work, self._starts.get((router, server)) == started))
