--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -19,8 +19,9 @@
     MoveStream, Outcome, Probe, ProbeEnded, Refuse, ReleaseState, RequestArrived, Role, RoleSight, Send,
     ServersListed, ServerState, ServiceLevel, SetTimer, Settings, StreamStarted, Subscribe, TimerFired,
 )
+from .quota import Quotas
 from .rendezvous import Rendezvous, rank
-from .state import Attempt, Bucket, Estimate, Request, Session, Worker, drop_before
+from .state import Attempt, Estimate, Request, Session, Worker, drop_before
 
 TICK, LOOK_EVERY, LIFT = 0.05, 4, 4.0  # s; ticks between looks over the fleet; wait over CST that lifts
 SESSION_IDLE, ORDERS_KEPT = 60.0, 500  # s unused until sessions and kept texts are dropped; hash orders kept
@@ -58,7 +59,7 @@
 WORK_MEMORY = 5.0  # s; time constant of the measured rate of work sent to a server
 WRITING = (Role.WRITER, Role.MIXED)
 LOG_EVERY, ASK_FIRST = 5.0, 0.5  # s between log lines; s until a failed list call is repeated
-SHARE_BURST, SHARE_LEAST, OVER_MARGIN = 3.0, 3.0, 0.5  # s of quota, turns at least, at once; of the time left
+OVER_MARGIN = 0.5  # part of the time left that a turn beyond its client's quota does without
 
 
 class Controller:
@@ -81,8 +82,7 @@
         self.balances: dict[tuple[str, int], float] = {}
         self.running, self.streams = dict.fromkeys(Role, 0), dict.fromkeys(Role, 0)  # servers; our streams
         self.service = ServiceLevel()
-        self.read_work = Estimate()  # readers' time that reads of ours take, s a s
-        self.reading = Estimate()  # part of a mixed server's time that reads of ours take, over all of them
+        self.reading = {role: Estimate() for role in Role}  # servers' time that reads of ours take, s a s
         self.seen: dict[str, Estimate] = {}  # how often a shared beginning came, fading
         self.pace = dict.fromkeys(Role, 0.0)  # s a token read; 0 until measured: no refusal on a guess
         self.mean_prompt = self.mean_fresh = 0.0  # mean tokens of a prompt; those that were not kept
@@ -90,7 +90,7 @@
         self.leaving, self.leave_age = ([0.0] * max(1, len(settings.tenants)) for _ in range(2))  # by tenant
         self.stream_time, self.class_tokens = ([0.0] * len(settings.classes) for _ in range(2))
         self.retries, self.probes = RETRY_CAP, PROBE_BURST
-        self.quota = [Bucket() for _ in settings.tenants]
+        self.quotas = Quotas(settings)
         self.serial = self.held = self.timer = self.paced = 0  # paced: reads that taught a pace
         self.gap, self.came, self.log_at = 0.0, 0.0, -math.inf  # mean time between arrivals, and the last
         self.ask_at, self.ask_wait = math.inf, ASK_FIRST
@@ -130,7 +130,8 @@
         warm = (min(1.0, self._age(w, now) / (self.s.cold_time or 1.0)) for w in pool)
         usable = sum(max(self.s.cold_from, part) for part in warm)
         if role is Role.READER:
-            busy = self.read_work.faded(now, WORK_MEMORY) * self.s.instances / max(usable, self.s.cold_from)
+            read = self.reading[role].faded(now, WORK_MEMORY) * self.s.instances
+            busy = read / max(usable, self.s.cold_from)
         else:
             out = sum(w.streams for w in pool)
             busy = out / (out + self._all_room(pool, now)) if out else 0.0
@@ -176,7 +177,7 @@
             self._close(req)
 
     def _arrived(self, ev: RequestArrived, now: float) -> None:
-        aim = self.s.classes[ev.cls].aim + self.s.classes[ev.cls].aim_per_1k * ev.prompt_tokens / 1000
+        aim = self.s.classes[ev.cls].aim_of(ev.prompt_tokens)
         tenant = min(ev.tenant, len(self.leaving) - 1)
         if self.leaving[tenant] > LEAVE_SHARE:
             # Reads for clients who leave early run on and serve nobody (i547495); hurts if only some hurry.
@@ -194,9 +195,7 @@
         old, size = self.class_tokens[ev.cls], ev.prompt_tokens + ev.max_tokens / 2
         self.class_tokens[ev.cls] = old + SLOW_GAIN * (ev.prompt_tokens - old) if old else ev.prompt_tokens
         self.context = self.context + SLOW_GAIN * (size - self.context) if self.context else size
-        if ev.tenant < len(self.quota) and self.s.tenants[ev.tenant].quota_per_s > 0:
-            rate = self.s.tenants[ev.tenant].quota_per_s / self.s.instances
-            req.over = not self.quota[ev.tenant].take(rate, max(SHARE_LEAST, rate * SHARE_BURST), now)
+        req.over = self.quotas.over(ev.tenant, now)
         self.serial, self.held = self.serial + 1, self.held + 1
         if ev.admit < 1.0 and self.random.random() >= ev.admit:
             return self._finish(req, f"gave way at {self.service.name or 'full'}", gave_way=True)
@@ -467,7 +466,8 @@
         there is always a gate."""
         rooms = [self._room(w, now) for w in pool]
         known = [r for r in rooms if r is not None] or [self._limit(w) - w.streams for w in pool]
-        return max(0.0, sum(sum(known) / len(known) if r is None else r for r in rooms))
+        mean = sum(known) / len(known)
+        return max(0.0, sum(mean if r is None else r for r in rooms))
 
     def _pump(self, now: float) -> None:
         if not self.held:
@@ -477,7 +477,8 @@
         free = {True: self._free(True, now), False: self._free(False, now) - reading}
         self.room_at = now
         # Reading slows mixed servers' answers, so it is held to a part of their time, all taken together.
-        busy = self.reading.faded(now, WORK_MEMORY) * self.s.instances / max(1, self.running[Role.MIXED])
+        reads = self.reading[Role.MIXED].faded(now, WORK_MEMORY) * self.s.instances
+        busy = reads / max(1, self.running[Role.MIXED])
         free[True] *= max(0.0, 1 - busy / READ_SHARE)
         idle = not any(w.reads or w.streams for w in self.workers.values())
         # Part of a place is given by chance, else what is too little for each router stays unused.
@@ -641,11 +642,9 @@
         weight = self._weight(req)
         w.work.bump(weight / WORK_MEMORY, now, WORK_MEMORY)
         w.cold_level -= weight
-        if read:
-            self.read_work.bump(fresh * self.pace[w.role] / WORK_MEMORY, now, WORK_MEMORY)
+        self.reading[w.role].bump(fresh * self.pace[w.role] / WORK_MEMORY, now, WORK_MEMORY)
         if w.role is Role.MIXED:
             self._remember(req, w, now)
-            self.reading.bump(fresh * self.pace[w.role] / WORK_MEMORY, now, WORK_MEMORY)
         self.acts.append(Send(req.ev.id, w.info.id, timeout))
         if read and self.steered:
             req.pair = self._pair(req, w, now)
--- a/hopshed/interface.py
+++ b/hopshed/interface.py
@@ -75,6 +75,10 @@
     group: Group = Group.ALL
     dedup_window: float = 0.0
 
+    def aim_of(self, prompt_tokens: float) -> float:
+        """s within which the first token is wanted for a prompt of this length."""
+        return self.aim + self.aim_per_1k * prompt_tokens / 1000
+
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
--- a/yewhook/levels/turns.py
+++ b/yewhook/levels/turns.py
@@ -8,18 +8,15 @@
 from typing import NamedTuple
 
 from hopshed.interface import RequestArrived, Settings
-from hopshed.state import Bucket
+from hopshed.quota import Quotas
 
 from .estimators import Mean, Recent
 
 READ_COST = 1.0 / 12.0  # work of a prompt token that has to be read, where that of an answer's token is 1
 GAIN = 0.02  # weight of a sample in the means
-FRESH_FIRST = {
-    True: 0.35,
-    False: 0.8,
-}  # part of a prompt to be read, for sessions under way and others, at first
+# Part of a prompt to be read, for sessions under way and for others, until it is learnt
+FRESH_FIRST = {True: 0.35, False: 0.8}
 SESSION_SPAN = 60.0  # s for which a session counts as under way, at least
-SHARE_BURST, SHARE_LEAST = 3.0, 3.0  # s of a client's quota, and turns at least, that may come at once
 
 
 class Standing(IntEnum):
@@ -59,20 +56,20 @@
         self._work = [Mean(GAIN) for _ in range(classes)]
         self._fresh = {(cls, under_way): Mean(GAIN) for cls in range(classes) for under_way in (True, False)}
         self._sessions = Recent(SESSION_SPAN)
-        self._quota = [Bucket() for _ in settings.tenants]
+        self._quotas = Quotas(settings)
 
     def sort(self, ev: RequestArrived, now: float) -> Turn:
         under_way = self._sessions.seen(ev.session, now)
         work = self._work_of(ev, under_way)
         mean = self._work[ev.cls]
-        kind = Kind(ev.cls, self._standing(ev, under_way), self._over(ev, now), self._long(work, mean))
+        over = self._quotas.over(ev.tenant, now)
+        kind = Kind(ev.cls, self._standing(ev, under_way), over, self._long(work, mean))
         mean.add(work)
         cls = self.settings.classes[ev.cls]
         worth = cls.worth * (work if self.settings.worth_by_work else 1.0)
         worth *= self.settings.over_share_worth if kind.over else 1.0
-        aim = cls.aim + cls.aim_per_1k * ev.prompt_tokens / 1000.0
         tenant = min(ev.tenant, max(0, len(self.settings.tenants) - 1))
-        return Turn(kind, tenant, work, worth, aim, now, ev.repeat)
+        return Turn(kind, tenant, work, worth, cls.aim_of(ev.prompt_tokens), now, ev.repeat)
 
     def _long(self, work: float, mean: Mean) -> bool:
         return mean.count > 0 and work > self.long_turn * mean.value
@@ -85,12 +82,6 @@
             return Standing.UNDER_WAY
         return Standing.REPEAT if ev.repeat else Standing.NEW
 
-    def _over(self, ev: RequestArrived, now: float) -> bool:
-        if ev.tenant >= len(self._quota) or self.settings.tenants[ev.tenant].quota_per_s <= 0:
-            return False
-        rate = self.settings.tenants[ev.tenant].quota_per_s / self.settings.instances
-        return not self._quota[ev.tenant].take(rate, max(SHARE_LEAST, rate * SHARE_BURST), now)
-
     def _work_of(self, ev: RequestArrived, under_way: bool) -> float:
         answer = min(self._answer[ev.cls].known(ev.max_tokens / 2.0), ev.max_tokens or 1e9)
         fresh = self._fresh[ev.cls, under_way].known(FRESH_FIRST[under_way]) * ev.prompt_tokens
--- a/yewlab/workload.py
+++ b/yewlab/workload.py
@@ -5,7 +5,7 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 
 from hopshed import interface as i
@@ -46,7 +46,6 @@
     prompt: float
     answer: float
     new: float  # tokens of the prompt that no earlier turn brought
-    over: bool
 
     @property
     def work(self) -> float:
@@ -117,6 +116,8 @@
         self._tenants = tenants or tuple(t.share for t in settings.tenants) or (1.0,)
         self._random, self._serial = Random(f"clients {seed}"), 0
         self._quota = [(0.0, sim.now) for _ in self._tenants]
+        # Sessions of each class for each turn that comes
+        self._sessions = [t.part / ((t.turns[0] + t.turns[1]) / 2.0) for t in traffic]
         self._arrive()
 
     @property
@@ -131,8 +132,7 @@
 
     def _arrive(self) -> None:
         """The next session: sessions come as in a Poisson process whose rate follows the turns wanted."""
-        turns = sum(t.part / ((t.turns[0] + t.turns[1]) / 2.0) for t in self.traffic)
-        rate = max(1e-6, self._rate(self.sim.now) * turns)
+        rate = max(1e-6, self._rate(self.sim.now) * sum(self._sessions))
         at = self.sim.now + min(5.0, self._random.expovariate(rate))
         if at >= self._until:
             return
@@ -141,8 +141,7 @@
 
     def _session(self) -> None:
         draw = self._random
-        weights = [t.part / ((t.turns[0] + t.turns[1]) / 2.0) for t in self.traffic]
-        cls = draw.choices(range(len(self.traffic)), weights)[0]
+        cls = draw.choices(range(len(self.traffic)), self._sessions)[0]
         traffic = self.traffic[cls]
         tenant = draw.choices(range(len(self._tenants)), self._tenants)[0]
         self._serial += 1
@@ -155,11 +154,10 @@
         mean = draw.uniform(*traffic.turns)
         count = math.floor(mean) + (draw.random() < mean % 1.0)
         prompt, at = tokens, self.sim.now
-        for n in range(max(1, count)):
+        for _ in range(max(1, count)):
             adds, answer = draw.uniform(*traffic.adds), draw.uniform(*traffic.answer)
-            new = adds + (tokens if n == 0 and not prefix else 0.0)
             prompt += adds
-            turn = Turn(cls, tenant, session, prefix, tokens, prompt, answer, new, False)
+            turn = Turn(cls, tenant, session, prefix, tokens, prompt, answer, adds)
             self._plan(turn, at)
             prompt += answer
             at += draw.uniform(*traffic.think)
@@ -211,7 +209,6 @@
     tries: int = 0
     id: str = ""
     first: float | None = None
-    deadline: float = field(default=0.0)
 
     def send(self) -> None:
         clients, turn, now = self.clients, self.turn, self.clients.sim.now
@@ -243,9 +240,8 @@
         self.clients.rules.answered(self.id, False, sim.now)
         assert self.first is not None
         cls = settings.classes[self.turn.cls]
-        aim = cls.aim + cls.aim_per_1k * self.turn.prompt / 1000.0
         pace = (sim.now - self.first) / self.turn.answer
-        well = self.first - self.began <= aim and pace <= cls.token_aim
+        well = self.first - self.began <= cls.aim_of(self.turn.prompt) and pace <= cls.token_aim
         for tally in self.tallies:
             if well:
                 tally.in_time[self.turn.cls] += self.worth
