--- a/yewlab/engines.py
+++ b/yewlab/engines.py
@@ -50,7 +50,6 @@
     left: float = 0.0  # of what is being done: tokens
     fresh: float = 0.0
     held: float = 0.0  # memory
-    streaming: bool = False
 
 
 @dataclass(slots=True)
@@ -117,13 +116,12 @@
 class Server:
     """One server's process: what it has in hand, and what a script makes of its pace."""
 
-    def __init__(self, sim: Simulation, number: int, engine: Engine) -> None:
-        self.sim, self.number, self.engine = sim, number, engine
+    def __init__(self, sim: Simulation, engine: Engine) -> None:
+        self.sim, self.engine = sim, engine
         self.speed = 1.0  # of a slowed machine
         self.started = -1e9
         self.cold_from, self.cold_time = 1.0, 0.0
         self.kept = Kept(engine.kept)
-        self.states: dict[str, float] = {}  # request -> tokens of its read state
         self.memory = 0.0
         self._reads: deque[Job] = deque()
         self._waits: deque[Job] = deque()  # for a slot and memory
@@ -145,16 +143,23 @@
         return self.capacity * reading / (self.engine.token_time + self.engine.slot_time * max(0, count - 1))
 
     def set_speed(self, speed: float) -> None:
-        self._reading.book()
-        self._streams.book()
+        self._book()
         self.speed = speed
-        self.replan()
+        self._plan()
 
     def replan(self) -> None:
         """Go on at the pace that has changed."""
-        for work in (self._reading, self._streams):
-            work.book()
-            work.plan()
+        self._book()
+        self._plan()
+
+    def _book(self) -> None:
+        """Reading slows streams, so what changes the one is booked for both."""
+        self._reading.book()
+        self._streams.book()
+
+    def _plan(self) -> None:
+        self._reading.plan()
+        self._streams.plan()
 
     def load(self) -> Load:
         """The report, refreshed now and then."""
@@ -167,36 +172,31 @@
 
     # ---- work ----
 
-    def take(self, job: Job, reads: bool) -> str:
-        """Begin; empty, or why it is turned away: `full` or `no state`."""
-        if reads or (self.engine.role is Role.MIXED and job.request_id not in self.states):
-            if len(self._reads) >= self.engine.queue:
-                return "full"
+    def take(self, job: Job, reads: bool) -> bool:
+        """Begin with reading, or with waiting for a slot; whether there was room in the queue."""
+        if len(self._reads if reads else self._waits) >= self.engine.queue:
+            return False
+        if reads:
             job.fresh = job.prompt - self.kept.of(job)
             self._reads.append(job)
             self._next_read()
-            return ""
-        if len(self._waits) >= self.engine.queue:
-            return "full"
-        self._waits.append(job)
-        self._fill()
-        return ""
+        else:
+            self._waits.append(job)
+            self._fill()
+        return True
 
     def _next_read(self) -> None:
         if self._reads and not self._reading.jobs:
             job = self._reads.popleft()
             job.fresh = job.prompt - self.kept.of(job)
             job.left = max(1.0, job.fresh)
-            self._streams.book()
-            self._reading.book()
+            self._book()
             self._reading.jobs.append(job)
-            self._reading.plan()
-            self._streams.plan()
+            self._plan()
 
     def _read(self, job: Job) -> None:
         self.kept.keep(job)
         if self.engine.role is Role.READER:
-            self.states[job.request_id] = job.prompt
             job.done(job, "read")
         else:
             self._waits.append(job)
@@ -221,7 +221,7 @@
     def _begin(self, job: Job) -> None:
         self._fetches.pop(job.request_id, None)
         self._streams.book()
-        job.left, job.streaming = max(1.0, job.answer), True
+        job.left = max(1.0, job.answer)
         self._streams.jobs.append(job)
         self._streams.plan()
         job.done(job, "first")
@@ -243,11 +243,9 @@
             self.memory -= job.held
         for work in (self._reading, self._streams):
             if job in work.jobs:
-                self._reading.book()
-                self._streams.book()
+                self._book()
                 work.jobs.remove(job)
                 self.memory -= job.held
         self._next_read()
-        self._reading.plan()
-        self._streams.plan()
+        self._plan()
         self._fill()
--- a/yewlab/fleet.py
+++ b/yewlab/fleet.py
@@ -60,7 +60,6 @@
         self.register_delay = 1.0  # s
         self._routers: list[tuple[int, Callable[[ListKind, tuple[i.Server, ...]], None]]] = []
         self._numbers = 0
-        self.word_at = sim.now  # when the register's last word came
         self._look()
 
     def add(self, engine: Engine, cell: int = 0, cold: bool = False) -> int:
@@ -69,7 +68,7 @@
         kind = self.settings.roles.index(engine.role)
         started = self.sim.now if cold else None
         info = i.Server(self._numbers, kind, 0, cell, ServerState.RUNNING, started)
-        self.boxes[info.id] = Box(info, Server(self.sim, info.id, engine))
+        self.boxes[info.id] = Box(info, Server(self.sim, engine))
         if cold:
             self._cold(self.boxes[info.id].server)
         self._tell(info)
@@ -85,7 +84,6 @@
 
     def _tell(self, info: i.Server) -> None:
         def arrive() -> None:
-            self.word_at = self.sim.now
             for router, listed in self._routers:
                 self.rules.told(router, info.id, info.state is ServerState.RUNNING, self.sim.now)
                 self.rules.started(router, info.id, info.started)
@@ -122,7 +120,7 @@
         box = self.boxes[number]
         box.silent = box.dead = False
         self._lose(box)
-        box.server = Server(self.sim, number, box.server.engine)
+        box.server = Server(self.sim, box.server.engine)
         box.info = box.info._replace(state=ServerState.RUNNING, started=self.sim.now)
         self._cold(box.server)
         self._tell(box.info)
@@ -186,7 +184,8 @@
         if box.server.engine.role is Role.WRITER and request not in fleet.states:
             return self.tell(out, Ending.STATE_GONE)
         box.jobs[request, out.number] = out
-        if box.server.take(out.job, out.reads):
+        # A mixed server reads whatever it gets itself: the module hands it no state while there is a writer.
+        if not box.server.take(out.job, box.server.engine.role is not Role.WRITER):
             box.jobs.pop((request, out.number), None)
             return self.tell(out, Ending.TURNED_AWAY)
         return None
--- a/yewlab/hardcases.py
+++ b/yewlab/hardcases.py
@@ -2,22 +2,20 @@
 
 from __future__ import annotations
 
-import os
 from collections.abc import Callable, Iterator
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from functools import partial
-from multiprocessing import get_context
 
 from hopshed.interface import Role
 from yewhook.levels.settings import LevelsSettings
 
 from . import site
-from .levels import AFTER, OFF, ON, Run
+from .levels import AFTER, OFF, ON, Run, processes
 
 FLEET = {Role.READER: 3, Role.WRITER: 3, Role.MIXED: 0}
 DEPLOY_RATE, DEPLOY_LASTS, LATE_REGISTER = 7.0, 90.0, 10.0  # turns a second, s, s
-OVERLOADS, OVERLOAD_LASTS = (20.0, 28.0), 150.0  # turns a second; the fleet can do about 8.5
+CAN = 8.5  # turns a second that the fleet can do, about
+OVERLOADS, OVERLOAD_LASTS = (20.0, 28.0), 150.0  # turns a second, s
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,13 +58,13 @@
 
 CASES: dict[str, Callable[[LevelsSettings, int], Outcome]] = {
     "a third silent in a rolling deploy, register 10 s late": rolling_deploy,
-    **{f"{rate / 8.5:.1f} times what can be done": partial(overload, rate) for rate in OVERLOADS},
+    **{f"{rate / CAN:.1f} times what can be done": partial(overload, rate) for rate in OVERLOADS},
 }
 
 
 def compare(seeds: int) -> Iterator[str]:
     """A line for each case: worth, fault-lookup and service-log, without levels and with; rules broken."""
-    with ProcessPoolExecutor(max_workers=os.cpu_count(), mp_context=get_context("spawn")) as pool:
+    with processes() as pool:
         runs = {
             name: [[pool.submit(case, levels, seed) for seed in range(seeds)] for levels in (OFF, ON)]
             for name, case in CASES.items()
--- a/yewlab/host.py
+++ b/yewlab/host.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from hopshed import interface as i
 from yewhook.core.router import Router
 from yewhook.levels.governor import Governor
 from yewhook.levels.ladder import Change
-from yewhook.levels.level import Vitals
 from yewhook.levels.settings import LevelsSettings, Mode
 from yewhook.log import Log
 
@@ -50,7 +48,6 @@
     levels: LevelsSettings,
     seed: int,
     number: int = 0,
-    vitals: Callable[[], Vitals] | None = None,
 ) -> Hosted:
     """A router that joins the fleet now. It has levels unless their mode is off."""
     workers, log = RouterWorkers(fleet, number), Silent()
@@ -59,9 +56,8 @@
     changes: list[tuple[float, Change]] = []
     governor = None
     if levels.mode is not Mode.OFF:
-        sees = vitals or (lambda: Vitals(register_age=0.0))
         governor = Governor(
-            settings, levels, seed, sim.now, sees, lambda change: changes.append((sim.now, change))
+            settings, levels, seed, sim.now, changed=lambda change: changes.append((sim.now, change))
         )
         router.governor = governor
     sim.deciders.append(router)
--- a/yewlab/levels.py
+++ b/yewlab/levels.py
@@ -35,6 +35,7 @@
 PERIOD = (40.0, 90.0)  # s, drawn by the seed
 WARM_UP, APPROACH = 120.0, 0.75  # s below the threshold, at this part of it
 AFTER = 20.0  # s in which what has come is answered
+SETTLE = 30.0  # s over which it is held against the approach
 TRIM = 60.0  # s over which the measured load is held against the threshold while it swings
 SMALL = {Role.READER: 2, Role.WRITER: 2, Role.MIXED: 1}
 MIDDLE = {Role.READER: 4, Role.WRITER: 4, Role.MIXED: 1}
@@ -113,7 +114,7 @@
     run = Run(f"{seed} {level.label}", ON, servers, quota=1000.0)
     governor, random = run.hosted.governor, Random(f"swing {seed} {level.label}")
     assert governor is not None
-    period, phase = random.uniform(*PERIOD), random.uniform(0.0, 2 * math.pi)
+    wave = _wave(random)
     start = run.sim.now + WARM_UP
     end = start + seconds
     base = [RATE * (servers[Role.WRITER] + servers[Role.MIXED])]
@@ -123,7 +124,7 @@
     def goal(now: float) -> float:
         if now < start:
             return threshold * APPROACH
-        return threshold * (1.0 + SWING * math.sin(2 * math.pi * now / period + phase))
+        return threshold * wave(now)
 
     def lead() -> None:
         """Once a second, slowly against a period: a little more where what is measured is under the
@@ -135,7 +136,8 @@
         now, load = run.sim.now, governor.signals.load
         swings = now >= start
         aim = threshold * (1.0 if swings else APPROACH)
-        slow[0] = aim if now - start == 0.0 else slow[0] + (load - slow[0]) / (TRIM if swings else 30.0)
+        first = swings and not seen
+        slow[0] = aim if first else slow[0] + (load - slow[0]) / (TRIM if swings else SETTLE)
         most = 0.004 if swings else 0.01
         base[0] *= math.exp(max(-most, min(most, 0.01 * (aim / max(0.05, slow[0]) - 1.0))))
         if swings:
@@ -155,17 +157,23 @@
     """Swing one signal by itself round its threshold, as the ladder sees it; noise comes unsmoothed."""
     threshold = ON.levels[level].conditions[name].enter
     random = Random(f"signal {seed} {level.label} {name}")
-    period, phase = random.uniform(*PERIOD), random.uniform(0.0, 2 * math.pi)
+    wave = _wave(random)
     ladder = Ladder(ON, random.random(), 0.0)
     changes, seen = 0, []
     for look in range(int(seconds / LOOK)):
         now = look * LOOK
-        swung = 1.0 + SWING * math.sin(2 * math.pi * now / period + phase) + random.gauss(0.0, NOISE)
-        seen.append(max(0.0, swung))
-        changes += ladder.step(now, Signals(**{name: threshold * max(0.0, swung)})) is not None
+        swung = max(0.0, wave(now) + random.gauss(0.0, NOISE))
+        seen.append(swung)
+        changes += ladder.step(now, Signals(**{name: threshold * swung})) is not None
     return Swing(f"{level.label}.{name}", changes, _crossings(seen), sum(seen) / len(seen))
 
 
+def _wave(random: Random) -> Callable[[float], float]:
+    """Round 1, with a period and a phase of its own."""
+    period, phase = random.uniform(*PERIOD), random.uniform(0.0, 2 * math.pi)
+    return lambda now: 1.0 + SWING * math.sin(2 * math.pi * now / period + phase)
+
+
 def _crossings(ratios: list[float]) -> int:
     return sum((a < 1.0) != (b < 1.0) for a, b in pairwise(ratios))
 
@@ -251,11 +259,16 @@
         yield from self.broken[:20]
 
 
+def processes() -> ProcessPoolExecutor:
+    """As many as there are cores; what comes out does not depend on their number."""
+    return ProcessPoolExecutor(max_workers=os.cpu_count(), mp_context=get_context("spawn"))
+
+
 def experiment(seed: int, minutes: float) -> Result:
-    """All of it, in as many processes as there are cores; what comes out does not depend on their number."""
+    """All of it."""
     seconds = 60.0 * minutes
     loads = [level for level in ON.known[1:] if "load" in ON.levels[level].conditions]
-    with ProcessPoolExecutor(max_workers=os.cpu_count(), mp_context=get_context("spawn")) as pool:
+    with processes() as pool:
         on, off = (pool.submit(fall, levels, seed, seconds) for levels in (ON, OFF))
         swings = [pool.submit(swing_load, level, seed, seconds) for level in reversed(loads)]
         alone = [
--- a/yewlab/rules.py
+++ b/yewlab/rules.py
@@ -29,7 +29,6 @@
 
     settings: Settings
     broken: list[str] = field(default_factory=list)
-    taken: int = 0
     _open: dict[str, _Request] = field(default_factory=dict)
     _told_off: dict[tuple[int, int], float] = field(default_factory=dict)
     _cold: dict[int, deque[tuple[float, float, bool]]] = field(default_factory=dict)
@@ -38,10 +37,13 @@
     def _break(self, now: float, what: str) -> None:
         self.broken.append(f"{now:.3f} {what}")
 
+    def _late(self, one: _Request, now: float) -> float:
+        """s by which the last moment for an answer has passed; under 0 before it."""
+        return now - one.deadline - self.settings.answer_slack - SLACK
+
     # ---- clients ----
 
     def came(self, request: str, effect: Effect, deadline: float, now: float) -> None:
-        self.taken += 1
         self._open[request] = _Request(deadline, effect, idle_since=now)
 
     def began(self, request: str, now: float) -> None:
@@ -51,7 +53,7 @@
             self._break(now, f"{request} answered, and nobody asks for it")
         elif not one.streaming:
             one.streaming = True
-            if now > one.deadline + self.settings.answer_slack + SLACK:
+            if self._late(one, now) > 0:
                 self._break(now, f"{request} begun {now - one.deadline:.3f} s after its deadline")
 
     def answered(self, request: str, refused: bool, now: float) -> None:
@@ -62,18 +64,12 @@
         one.answers += 1
         if one.answers > 1:
             self._break(now, f"{request} answered twice")
-        late = now - one.deadline - self.settings.answer_slack - SLACK
-        if not one.streaming and late > 0:
+        if not one.streaming and (late := self._late(one, now)) > 0:
             self._break(now, f"{request} answered {late:.3f} s late")
         if refused and one.effect is Effect.UNSAFE and one.may_have_run:
             self._break(now, f"{request} refused as harmless though it may have run")
         return None
 
-    def left(self, request: str) -> None:
-        """Its client has gone: no answer is owed."""
-        if (one := self._open.get(request)) is not None:
-            one.answers += 1
-
     # ---- servers ----
 
     def sent(self, router: int, request: str, server: int, reads: bool, now: float) -> None:
@@ -135,11 +131,7 @@
     def sweep(self, now: float) -> None:
         """Look for what was never answered, and forget what is long over."""
         for request, one in list(self._open.items()):
-            if (
-                one.answers == 0
-                and not one.streaming
-                and now > one.deadline + self.settings.answer_slack + SLACK
-            ):
+            if one.answers == 0 and not one.streaming and self._late(one, now) > 0:
                 self._break(now, f"{request} never answered")
                 one.answers = 1
             if one.answers and one.out == 0 and now - one.deadline > 5.0 and now - one.idle_since > 5.0:
