--- a/tests/levels/test_at_a_router.py
+++ b/tests/levels/test_at_a_router.py
@@ -111,6 +111,7 @@
     monkeypatch.setattr("yewhook.levels.governor.Governor._judge", lambda *_: 1 / 0)
     p.play("wait 0.5")
     assert p.said("levels failed: ") and not p.said("turn failed")
+    assert p.oversight.report() == {"levels": {"platform": None}}  # it told of the level of a dead judge
     p.play(begin("id=r7")).play("writer send stream\nwriter send event text=one\nclient expect one")
 
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -17,7 +17,7 @@
 from settings import ENV
 from typer.testing import CliRunner
 
-from yewhook.agent import Agent, ask, read
+from yewhook.agent import Agent, Line, ask, read
 from yewhook.cli import app
 from yewhook.config import ConfigError
 from yewhook.dnssd import Records
@@ -165,6 +165,18 @@
     assert ended.exit_code == 1 and "n0 could not be told" in ended.output and "n1 told" in ended.output
 
 
+def test_who_waits_for_a_router_that_ends_is_told(running: Running) -> None:
+    # The line was dropped without a word: an operator's pin got no answer at all.
+    told: list[bool] = []
+    line = Line(running.service.loop)
+    line.tell("levels/unpin", {}, told.append)
+    line.close()
+    assert told == [False] and line.closed
+    line.tell("levels/unpin", {}, told.append)
+    line.inherited()
+    assert told == [False, False]
+
+
 def test_a_restart_waits_longer_each_time(running: Running) -> None:
     run = running
     waits = []
--- a/yewhook/agent.py
+++ b/yewhook/agent.py
@@ -165,7 +165,6 @@
 
     def __init__(self, loop: Loop) -> None:
         ours, self._theirs = socket.socketpair()
-        self._loop = loop
         self._peer = Peer.accepted(loop, ours, self)
         self.status: dict[str, Any] = {}  # as last heard
         self._asking = self.closed = False
@@ -201,9 +200,8 @@
         return None
 
     def close(self) -> None:
-        if not self.closed:
-            self.closed = True
-            self._peer.close()
+        """Hang up; whoever waits for an answer is told that there is none."""
+        self._peer.hang_up()
 
     def request(self, peer: Peer, request_id: Id, method: str, params: dict[str, Any]) -> None:
         raise RpcError(Code.METHOD_NOT_FOUND, "a router asks nothing of its agent")
--- a/yewhook/cli.py
+++ b/yewhook/cli.py
@@ -12,7 +12,7 @@
 import typer
 
 from . import __version__
-from .commands.ask import AGENT, At, ask_agent, complaint
+from .commands.common import AGENT, At, ask_agent, complaint, read_settings
 from .commands.lab import lab
 from .commands.levels import level_of, levels
 from .config import Address, ConfigError, Limits
@@ -22,7 +22,6 @@
 from .oversight import Oversight
 from .platform.front import PlatformFront
 from .service import Room, Service
-from .settings import ServiceSettings
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, help="A router for model servers.")
 
@@ -44,8 +43,8 @@
     service.heed_signals()
     fronts: list[RouterFront] = []
     try:
-        read_settings = partial(_settings, settings)
-        operators = read_settings()
+        read_operators = partial(read_settings, settings)
+        operators = read_operators()
         service.log.use(operators.log)
         config = read_config(os.environ) if platform else None
         limits = config.limits if config else Limits()
@@ -55,7 +54,7 @@
             fronts.append(PlatformFront(service.loop, config, room, again))
         if toolcalls is not None:
             fronts.append(_toolcalls(service, toolcalls, room))
-        oversight = Oversight(service.loop, service.log, limits, fronts, operators, read_settings)
+        oversight = Oversight(service.loop, service.log, limits, fronts, operators, read_operators)
     except (ConfigError, OSError) as error:
         raise complaint(error) from None
     if not fronts:
@@ -69,15 +68,6 @@
     service.run()
 
 
-def _settings(path: Path | None) -> ServiceSettings:
-    """What the operators' file says, or what holds without one."""
-    if path is None:
-        return ServiceSettings()
-    from .operators import read  # the checking of it costs memory, which those without a file keep
-
-    return read(path)
-
-
 def _toolcalls(service: Service, path: Path, room: Room) -> RouterFront:
     # Only this front needs a DNS library, and a router of the platform has little memory.
     from .toolcalls.config import read
@@ -112,7 +102,7 @@
             names = ", ".join(spec.name for spec in file.instances)
             typer.echo(f"{fleet}: the agent listens on {_place(file.listen)} and runs {names}")
         if settings is not None:
-            file_levels = _settings(settings).levels
+            file_levels = read_settings(settings).levels
             used = ", ".join(level.label for level in file_levels.known)
             typer.echo(f"{settings}: levels of service are {file_levels.mode.value}: {used}")
         if toolcalls is None and fleet is None and settings is None:
--- a/yewhook/commands/ask.py
+++ b/yewhook/commands/common.py
@@ -1,13 +1,15 @@
-"""How commands complain, and how they ask a running agent."""
+"""What commands have in common: how they complain, read the operators' file and ask a running agent."""
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Annotated, Any
 
 import typer
 
 from ..config import ConfigError, address
 from ..jsonrpc import RpcError
+from ..settings import ServiceSettings
 
 At = Annotated[str, typer.Option("--agent", help="Where the agent listens.")]
 AGENT = "127.0.0.1:7400"
@@ -18,6 +20,15 @@
     return typer.Exit(2)
 
 
+def read_settings(path: Path | None) -> ServiceSettings:
+    """What the operators' file says, or what holds without one. Raises ConfigError."""
+    if path is None:
+        return ServiceSettings()
+    from ..operators import read  # the checking of it costs memory, which those without a file keep
+
+    return read(path)
+
+
 def ask_agent(at: str, method: str, **params: Any) -> Any:
     """Its answer; whatever goes wrong ends the command with one plain line."""
     from ..agent import ask
--- a/yewhook/commands/levels.py
+++ b/yewhook/commands/levels.py
@@ -13,7 +13,7 @@
 from ..config import ConfigError
 from ..levels.level import MEANING, Level
 from ..levels.settings import LevelsSettings
-from .ask import AGENT, At, ask_agent, complaint
+from .common import AGENT, At, ask_agent, complaint, read_settings
 
 levels = typer.Typer(no_args_is_help=True, help="Levels of reduced service.")
 UNITS = {"s": 1, "m": 60, "h": 3600, "d": 86400}
@@ -74,12 +74,7 @@
                     typer.echo(f"\t{figures}\n\tadmitted by client: {level['admitted']}")
         return
     try:
-        if service is None:
-            settings = LevelsSettings()
-        else:
-            from ..operators import read
-
-            settings = read(service).levels
+        settings = read_settings(service).levels
     except ConfigError as error:
         raise complaint(error) from None
     for line in table(settings):
--- a/yewhook/front.py
+++ b/yewhook/front.py
@@ -13,7 +13,6 @@
 from .core.ending import Ending
 from .core.ports import Told, Workers
 from .core.router import Router
-from .levels.ladder import Change
 from .levels.level import Vitals
 from .levels.settings import LevelsSettings, Mode
 from .loop import Loop
@@ -23,6 +22,7 @@
 
 if TYPE_CHECKING:
     from .levels.governor import Governor
+    from .levels.ladder import Change
 
 GRACE_MOST = 3.0  # s; the platform grants the longest patience of a class, and no more than this
 ROOM_STEP = 32  # idle connections closed at a time when sockets run out
@@ -141,7 +141,7 @@
         self.grace = min(GRACE_MOST, max(c.patience for c in settings.classes))
         self.registry = Registry(names, time.monotonic() - time.time(), loop.log)
         self.releases = Releases(loop, ask, latest, self.registry.running)
-        self.levels: Governor | None = None
+        self._governor: Governor | None = None
 
     def route(self, workers: TellingWorkers, seed: int) -> None:
         """Give the front its router."""
@@ -172,24 +172,29 @@
         """s since the last word of whoever lists the workers."""
         raise NotImplementedError
 
+    @property
+    def levels(self) -> Governor | None:
+        """Who judges the level of service; nobody where levels are off, or where the router gave it up."""
+        return self._governor if self._governor is self.router.governor else None
+
     def set_levels(
         self, settings: LevelsSettings, vitals: Callable[[], Vitals], changed: Callable[[Change], None]
     ) -> None:
         """Put settings of the levels of service in force, at the start or while it runs."""
+        levels = self.levels
         if settings.mode is Mode.OFF:
-            if self.levels is not None:
-                self.levels = None
+            if levels is not None:
                 self.router.govern(None)
-        elif self.levels is None:
+        elif levels is None:
             from .levels.governor import Governor  # where they are off, nothing is paid for them
 
             def seen() -> Vitals:
                 return vitals()._replace(register_age=self.register_age)
 
-            self.levels = Governor(self._settings, settings, self._seed, self.loop.now, seen, changed)
-            self.router.govern(self.levels)
+            self._governor = Governor(self._settings, settings, self._seed, self.loop.now, seen, changed)
+            self.router.govern(self._governor)
         else:
-            self.levels.configure(settings, self.loop.now)
+            levels.configure(settings, self.loop.now)
 
     def drain(self) -> None:
         """Clients that are not told beforehand connect elsewhere when this end hangs up."""
--- a/yewhook/levels/ladder.py
+++ b/yewhook/levels/ladder.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .level import Level, Signals
 from .settings import LevelsSettings
@@ -114,7 +114,9 @@
 
     def set_pin(self, pin: Pin | None) -> None:
         """Hold a level until a time, whatever is seen; None ends it at the next look."""
-        self.pin = pin if pin is not None else (self.pin and Pin(self.pin.level, -math.inf, self.pin.reason))
+        if pin is None and self.pin is not None:
+            pin = replace(self.pin, until=-math.inf)
+        self.pin = pin
 
     def _pinned(self, now: float, pin: Pin) -> Change | None:
         level = self.settings.nearest(pin.level)
--- a/yewhook/levels/settings.py
+++ b/yewhook/levels/settings.py
@@ -57,9 +57,7 @@
     confirm: float = 2.0  # s that a condition must hold before its level is entered
     least_stay: float = 5.0  # s in a level before it may be left for a better one
     leave_after: float = 60.0  # s of calm before a level is left, times a spread drawn by the seed
-    leave_spread: float = (
-        0.5  # part by which that time is longer at most, so that routers do not swing together
-    )
+    leave_spread: float = 0.5  # part by which that is longer at most: routers are not to swing together
     relapse: float = 300.0  # s after leaving a level in which a return counts as a failed leave
     backoff: float = 4.0  # by so much longer is each leave's calm after a failed one
     leave_most: float = 300.0  # s of calm that are asked for at most
--- a/yewhook/operators.py
+++ b/yewhook/operators.py
@@ -46,7 +46,7 @@
 
 
 class PinTable(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    level: Literal["full", "guarded", "thrifty", "essential", "last-resort"]
+    level: Literal["full", Name]
     until: datetime
     reason: str
 
@@ -117,23 +117,23 @@
 WHERE = re.compile(r"(.*?)(?: - at `\$\.?(.*)`)?", re.DOTALL)
 
 
+def _inside(value: Any, key: str) -> Any:
+    """What stands under a key, or at a place of a list."""
+    if isinstance(value, list):
+        return value[int(key)]
+    return value.get(key) if isinstance(value, dict) else None
+
+
 def _plain(message: str, raw: Any) -> str:
     """msgspec's complaint in this project's order: key, value, what was expected."""
     found = WHERE.fullmatch(message)
     what, where = (found[1], found[2] or "") if found is not None else (message, "")
     value = raw
     for key in re.findall(r"[^.\[\]]+", where):
-        value = (
-            value[int(key)]
-            if isinstance(value, list)
-            else value.get(key)
-            if isinstance(value, dict)
-            else None
-        )
+        value = _inside(value, key)
     if unknown := re.search(r"unknown field `(.*)`", what):
         key = f"{where}.{unknown[1]}" if where else unknown[1]
-        held = value.get(unknown[1]) if isinstance(value, dict) else value
-        return f"{key}: got {held!r}, expected no such key"
+        return f"{key}: got {_inside(value, unknown[1])!r}, expected no such key"
     if missing := re.search(r"missing required field `(.*)`", what):
         return f"{where}.{missing[1]}: got nothing, expected a value"
     return f"{where}: got {value!r}, {what[:1].lower()}{what[1:]}"
--- a/yewhook/oversight.py
+++ b/yewhook/oversight.py
@@ -7,20 +7,28 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from .config import Limits
 from .front import RouterFront
-from .levels.ladder import Change
 from .levels.level import Level, Vitals
 from .log import Log
 from .loop import Loop
 from .settings import ServiceSettings
 
+if TYPE_CHECKING:
+    from .levels.governor import Governor
+    from .levels.ladder import Change
+
 LOOK_EVERY = 1.0  # s between looks at the process's memory
 PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
+def resident(pid: int | str = "self") -> int:
+    """Bytes of memory that a process holds."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE
+
+
 class VitalSigns:
     """Descriptors and memory in use, as parts of what the process may have."""
 
@@ -31,8 +39,7 @@
     def __call__(self) -> Vitals:
         if self._loop.now - self._looked >= LOOK_EVERY:
             self._looked = self._loop.now
-            resident = int(Path("/proc/self/statm").read_text().split()[1]) * PAGE
-            self._memory = resident / self._limits.memory
+            self._memory = resident() / self._limits.memory
         return Vitals(self._loop.sockets / self._limits.sockets, self._memory)
 
 
@@ -90,24 +97,23 @@
             lasted_s=round(change.lasted, 1),
         )
 
+    @property
+    def _judged(self) -> list[Governor]:
+        """Of the fronts whose levels are judged."""
+        return [front.levels for front in self._fronts if front.levels is not None]
+
     def pin(self, level: Level, seconds: float, reason: str) -> None:
-        for front in self._fronts:
-            if front.levels is not None:
-                front.levels.pin(level, seconds, reason, self._loop.now)
+        for levels in self._judged:
+            levels.pin(level, seconds, reason, self._loop.now)
         self.log("level pinned", f"{level.label} for {seconds:.0f} s: {reason}", level=level.label)
 
     def unpin(self) -> None:
-        for front in self._fronts:
-            if front.levels is not None:
-                front.levels.unpin()
+        for levels in self._judged:
+            levels.unpin()
         self.log("level pin ended", "by an operator")
 
     def report(self) -> dict[str, Any]:
         """Each front's level, for operators; None where levels are off."""
         now = self._loop.now
-        return {
-            "levels": {
-                front.whose: front.levels.report(now) if front.levels is not None else None
-                for front in self._fronts
-            }
-        }
+        told = ((front.whose, front.levels) for front in self._fronts)
+        return {"levels": {whose: levels.report(now) if levels else None for whose, levels in told}}
--- a/yewlab/memory.py
+++ b/yewlab/memory.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from yewhook.oversight import PAGE
+from yewhook.oversight import resident
 
 STARTS, SETTLE = 5, 1.5  # processes of each kind; s until memory is read
 JSON_LINES = '[log]\nform = "json"\n[levels]\nmode = "on"\n'
@@ -60,8 +60,8 @@
                 break
         start = time.monotonic() - began
         time.sleep(SETTLE)
-        resident = int(Path(f"/proc/{process.pid}/statm").read_text().split()[1]) * PAGE / (1 << 20)
+        held = resident(process.pid) / (1 << 20)
         process.send_signal(signal.SIGTERM)
         process.stderr.read()
         process.wait()
-    return resident, 1000.0 * start
+    return held, 1000.0 * start
