Let routers that lose discovery together ask it again in turn, not once a second each

Checked: each router waited 0.05 s doubling to 1.0 s, without jitter, and hung up on a call that had waited for 1 s in discovery's queue. 37 routers asking once a second is more than it answers, so it answers nobody: a retry storm that keeps itself up.

At fault: AGAIN, FIRST_WORD and `_again` in platform/discovery.py. Now a wait is a share of what all routers ask together (settings' instances), doubling and drawn anew each time (`Backoff`, which keeps no clock), and the head may take the longer the more routers there are; with one to six routers the first word keeps its 1 s.

Tests fail on the old waits.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -69,9 +69,9 @@
 
 
 class Platform(Play):
-    def __init__(self, fleet: dict[str, str]) -> None:
+    def __init__(self, fleet: dict[str, str], routers: int = 1) -> None:
         super().__init__(SAYINGS | {"list": self.listed})
-        settings, names = translate(ENV)
+        settings, names = translate(ENV | {"instances": routers})
         self.fleet = dict(fleet)  # a test may add to it
         self.parties = {name: Party() for name in [*fleet, "discovery"]}
         self.config = config = Config(
@@ -477,6 +477,20 @@
     assert p.parties["discovery"].connections == 2
 
 
+def test_one_of_many_routers_asks_an_overbooked_discovery_again_only_after_its_share_of_the_wait() -> None:
+    # 28 restarted routers that asked once a second each kept discovery so busy that none was ever answered.
+    one, many = Platform(FLEET), Platform(FLEET, routers=40)
+    try:
+        for platform, tries in ((one, 4), (many, 1)):
+            for _ in range(tries):
+                platform.play("discovery expect GET\ndiscovery send status status=503")
+                platform.play("discovery reset\nwait 0.35")
+            assert platform.parties["discovery"].connections == tries + (platform is one)
+    finally:
+        one.end()
+        many.end()
+
+
 def test_a_bad_file_changes_nothing(p: Platform, monkeypatch: pytest.MonkeyPatch) -> None:
     def bad() -> Config:
         raise ConfigError("config.json: not JSON")
--- /dev/null
+++ b/yewhook/backoff.py
@@ -0,0 +1,28 @@
+"""How long one router of many waits before it asks again for what all of them ask of the same place."""
+
+from __future__ import annotations
+
+from random import Random
+
+FIRST, MOST = 0.05, 0.25  # s for each router of the tier: together they ask 20 times a s at first, then 4
+LONGEST = 15.0  # s that one router waits at the most, however many there are
+SPREAD = 0.8  # part of a wait by which it is longer or shorter
+
+
+class Backoff:
+    """Waits that double from one failure to the next, so long that all routers together ask no oftener than a
+    few would. Each is drawn anew, for routers that failed together would else come back together."""
+
+    def __init__(self, routers: int, random: Random) -> None:
+        self._first, self._most = min(FIRST * routers, LONGEST), min(MOST * routers, LONGEST)
+        self._random = random
+        self.begin()
+
+    def begin(self) -> None:
+        """It has answered: the next failure is the first one again."""
+        self._wait = self._first
+
+    def next(self) -> float:
+        """s to wait after one more failure."""
+        wait, self._wait = self._wait, min(2 * self._wait, self._most)
+        return wait * self._random.uniform(1 - SPREAD, 1 + SPREAD)
--- a/yewhook/platform/discovery.py
+++ b/yewhook/platform/discovery.py
@@ -4,21 +4,25 @@
 
 import json
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 import httptools
 
 from hopshed import interface as i
 
+from ..backoff import Backoff
 from ..channel import Channel
 from ..config import Address
 from ..loop import Loop, Timer
 from ..registry import Registry
 from . import http
 
-SILENCE, FIRST_WORD = 4.0, 1.0  # s; an empty line comes every 2, and the head at once
+SILENCE = 4.0  # s; an empty line comes every 2
+# s until the head must have come, for each router of the tier, and its bounds: asked by many at once, discovery
+# lets them wait in turn, and who hangs up and asks again waits again, and makes all the others wait longer.
+FIRST_WORD, FIRST_WORD_LEAST, FIRST_WORD_MOST = 0.15, 1.0, 6.0
 LOOK_EVERY = 0.25  # s
-AGAIN = (0.05, 1.0)  # s until the next try, doubling
 LINE_LIMIT = 4 * 1024 * 1024
 
 
@@ -30,10 +34,14 @@
         generation: int,
         registry: Registry,
         listed: Callable[[i.ListKind, tuple[i.Server, ...]], None],
+        routers: int,
+        random: Random,
     ) -> None:
+        """`routers` = how many of them ask the same discovery; `random` keeps their tries apart."""
         self._loop, self._address, self._generation = loop, address, generation
         self._registry, self._listed = registry, listed
-        self._wait = AGAIN[0]
+        self._backoff = Backoff(routers, random)
+        self._first_word = min(FIRST_WORD_MOST, max(FIRST_WORD_LEAST, FIRST_WORD * routers))
         self.heard = loop.now  # when its last word came, if only that nothing has changed
         self._channel: Channel | None = None
         self._next = Timer(loop)  # the next look at this connection, or the next one
@@ -43,7 +51,8 @@
         """Go on at another address. Its numbering may be its own, so it is asked for the whole list, and the
         old list stays in use until that has come."""
         self.close()
-        self._address, self._generation, self._wait = address, 0, AGAIN[0]
+        self._address, self._generation = address, 0
+        self._backoff.begin()
         self._connect()
 
     def _connect(self) -> None:
@@ -59,15 +68,15 @@
         return self._next.set(LOOK_EVERY, self._check)
 
     def _check(self) -> None:
-        if self._loop.now - max(self.heard, self._began) > (SILENCE if self._status else FIRST_WORD):
+        if self._loop.now - max(self.heard, self._began) > (SILENCE if self._status else self._first_word):
             return self._again("silent")
         return self._next.set(LOOK_EVERY, self._check)
 
     def _again(self, why: str) -> None:
-        self._loop.log("discovery watch lost", f"{why}; again in {self._wait:.2f} s")
+        wait = self._backoff.next()
+        self._loop.log("discovery watch lost", f"{why}; again in {wait:.2f} s")
         self.close()
-        self._next.set(self._wait, self._connect)
-        self._wait = min(2 * self._wait, AGAIN[1])
+        self._next.set(wait, self._connect)
 
     def close(self) -> None:
         self._next.cancel()
@@ -110,7 +119,8 @@
             generation = int(message["generation"])
         except (KeyError, TypeError, AttributeError) as error:
             raise ValueError(f"an entry: {type(error).__name__} {error}") from error
-        self._generation, self._wait = generation, AGAIN[0]
+        self._generation = generation
+        self._backoff.begin()
         self._listed(i.ListKind.FULL if message.get("reset") else i.ListKind.CHANGES, servers)
 
     def on_message_complete(self) -> None:
--- a/yewhook/platform/front.py
+++ b/yewhook/platform/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from random import Random
 
 from hopshed import interface as i
 
@@ -40,7 +41,11 @@
         self.clients = ClientFront(loop, self.router, config.names, room.for_bodies)
         self.open(self.clients, config.listen, room, "the platform's")
         generation = int(config.known.get("generation") or 0)
-        self.watch = Watch(loop, config.discovery, generation, self.registry, self._listed)
+        # The router's seed is new with each start and another at each router.
+        self.watch = Watch(
+            loop, config.discovery, generation, self.registry, self._listed,
+            config.settings.instances, Random(config.seed),
+        )  # fmt: skip
 
     def _listed(self, kind: i.ListKind, servers: tuple[i.Server, ...]) -> None:
         self.pool.keep_only(self.registry.in_use())
