--- a/yewhook/platform/discovery.py
+++ b/yewhook/platform/discovery.py
@@ -19,8 +19,8 @@
 from . import http
 
 SILENCE = 4.0  # s; an empty line comes every 2
-# s until the head must have come, for each router of the tier, and its bounds: asked by many at once, discovery
-# lets them wait in turn, and who hangs up and asks again waits again, and makes all the others wait longer.
+# s until the head must have come, for each router of the tier, and its bounds: asked by many at once, it
+# lets them wait in turn; who hangs up and asks again waits again, and makes all the others wait longer.
 FIRST_WORD, FIRST_WORD_LEAST, FIRST_WORD_MOST = 0.15, 1.0, 6.0
 LOOK_EVERY = 0.25  # s
 LINE_LIMIT = 4 * 1024 * 1024
