Wake the loop at signals by a pipe: a router holds no Unix socket any more

Checked against it: `run` is one process by `exec`, linked against the C library dynamically; nothing under `serve` forks, starts a program or uses io_uring, splice or sendfile (only the agent does). What fell short was Service.heed_signals, whose wake-up pair came from socket.socketpair, which is of the Unix kind. The test starts a router, has socketpair fail, and looks at the process's descriptors; it fails on the old code.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -41,6 +41,29 @@
     assert "draining" in rest and "stopped" in rest and "Traceback" not in rest
 
 
+def test_a_router_holds_no_unix_socket(tmp_path: Path) -> None:
+    # Its wake-up pair was one, and the platform grants TCP and UDP over IPv4 only.
+    seen = (
+        "import socket\n"
+        "def refuse(*_, **__): raise OSError('no Unix sockets here')\n"
+        "socket.socketpair = refuse\n"
+        "from yewhook.cli import app\n"
+        "app(['serve'])\n"
+    )
+    env = os.environ | {"PROXY_CONFIG": str(config(tmp_path)), "PROXY_NAME": "n3"}
+    command = [sys.executable, "-c", seen]
+    with subprocess.Popen(
+        command, cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True
+    ) as process:
+        assert process.stderr is not None
+        assert " n3 serving: " in process.stderr.readline()
+        unix = {line.split()[6] for line in Path("/proc/net/unix").read_text().splitlines()[1:]}
+        files = [os.readlink(path) for path in Path(f"/proc/{process.pid}/fd").iterdir()]
+        process.send_signal(signal.SIGTERM)
+        process.stderr.read()
+    assert files and not [name for name in files if name.removeprefix("socket:[").rstrip("]") in unix]
+
+
 def test_sighup_reads_the_file_anew_and_never_ends_the_process(tmp_path: Path) -> None:
     # SIGHUP had no handler and so ended the process. The variable is as old as it: the file wins.
     path = config(tmp_path)
--- a/yewhook/loop.py
+++ b/yewhook/loop.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import selectors
-import socket
 import time
 import traceback
 from collections.abc import Callable
@@ -15,6 +14,10 @@
 Handler = Callable[[int], None]
 
 
+class HasFile(Protocol):
+    def fileno(self) -> int: ...
+
+
 class Turn(Protocol):
     """Something that decides once a turn, on all that the turn has gathered."""
 
@@ -33,8 +36,8 @@
         self.accepted = 0  # those of them that others have opened
         self._selector = selectors.DefaultSelector()
 
-    def watch(self, sock: socket.socket, events: int, handler: Handler) -> None:
-        """Watch a socket for these events (0 = none)."""
+    def watch(self, sock: HasFile, events: int, handler: Handler) -> None:
+        """Watch a socket or a pipe's end for these events (0 = none)."""
         known = sock.fileno() in self._selector.get_map()
         if events and known:
             self._selector.modify(sock, events, handler)
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import contextlib
 import gc
 import math
+import os
 import selectors
 import signal
 import socket
 from collections.abc import Callable
+from io import FileIO
 from typing import Protocol
 
 from .config import Address, ConfigError, Limits
@@ -129,13 +130,15 @@
         self.files: list[Callable[[], Callable[[], str]]] = []  # read anew with the fronts' configurations
         self.draining = False
         self._end_at = 0.0
-        self._wake: tuple[socket.socket, socket.socket] | None = None
+        self._wake: tuple[FileIO, FileIO] | None = None
 
     def heed_signals(self) -> None:
         """Drain at SIGTERM and SIGINT, reload at SIGHUP; to be called before anything is taken."""
-        wake_read, wake_write = self._wake = socket.socketpair()
-        for end in (wake_read, wake_write):
-            end.setblocking(False)
+        # A pipe and no pair of sockets: those are of the Unix kind, which the platform does not grant.
+        read_end, write_end = os.pipe()
+        for end in (read_end, write_end):
+            os.set_blocking(end, False)
+        wake_read, wake_write = self._wake = FileIO(read_end), FileIO(write_end, "w")
         signal.set_wakeup_fd(wake_write.fileno(), warn_on_full_buffer=False)
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, lambda *_: None)
@@ -148,10 +151,8 @@
         self.loop.run()
         self.log("stopped")
 
-    def _signalled(self, wake: socket.socket) -> None:
-        numbers = b""
-        with contextlib.suppress(BlockingIOError):
-            numbers = wake.recv(64)
+    def _signalled(self, wake: FileIO) -> None:
+        numbers = wake.read(64) or b""  # None where nothing has come
         if signal.SIGHUP in numbers:
             self.reload()
         if {signal.SIGTERM, signal.SIGINT} & set(numbers):
