Use cold servers in proportion to the time since their start, from the first list on

Checked: `_cold_room` fills a bucket by a fortieth of the budget, from a level drawn below one, and a send takes one: each router's first send waits until its part has come (0.03 to 0.07 a s), longer than the warming.

Now the level begins higher by the least part of its capacity that the server has by its age (`_able`), so that that part of the routers may send at once.

--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -135,8 +135,7 @@
 
     def _sight(self, role: Role, now: float) -> RoleSight:
         pool = self._pool(role, now)
-        warm = (min(1.0, self._age(w, now) / (self.s.cold_time or 1.0)) for w in pool)
-        usable = sum(max(self.s.cold_from, part) for part in warm)
+        usable = sum(self._able(w, now) for w in pool)
         if role is Role.READER:
             read = self.reading[role].faded(now, WORK_MEMORY) * self.s.instances
             busy = read / max(usable, self.s.cold_from)
@@ -160,10 +159,11 @@
                     continue
                 listed = now if ev.kind is ListKind.CHANGES else -math.inf
                 w = self.workers[info.id] = Worker(info, self.s.roles[info.kind], now, listed)
-                w.cold_level = self.random.random()
+                w.cold_level = self.random.random() + self._able(w, now)
             elif info.started != w.info.started and info.started is not None:  # a new process
                 w.forget(now)
-                w.listed, w.cold_level = now, self.random.random()
+                w.info, w.listed = info, now
+                w.cold_level = self.random.random() + self._able(w, now)
                 self.kept = {key: use for key, use in self.kept.items() if key[0] != info.id}
             w.info = info
             w.gone_at = now if info.state is ServerState.GONE else math.inf
@@ -412,6 +412,11 @@
     def _age(self, w: Worker, now: float) -> float:
         return now - (w.info.started if w.info.started is not None else w.listed)
 
+    def _able(self, w: Worker, now: float) -> float:
+        """The least part of its capacity that a server has by now; it grows evenly until it is warm."""
+        warm = min(1.0, self._age(w, now) / (self.s.cold_time or 1.0))
+        return self.s.cold_from + (1 - self.s.cold_from) * warm
+
     def _weight(self, req: Request) -> float:
         """A send's work against the mean over classes."""
         seen = [t for t in self.class_tokens if t > 0]
@@ -419,7 +424,8 @@
 
     def _cold_room(self, w: Worker, now: float) -> float:
         """Token bucket: our part of what a cold server can take, by what its warm peers get from us. Where it
-        is under one send, a start by chance lets in the routers whose turn it is, so that the sum holds."""
+        is under one send, a start by chance lets in the routers whose turn it is, so that the sum holds: as
+        large a part of them at once as it has of its capacity: it is warm before each has had its turn."""
         peers = [p.work.faded(now, WORK_MEMORY) for p in self._peers(w) if not self._cold(p, now)]
         warm = sum(peers) / len(peers) if peers else COLD_FLOOR / self.s.instances
         rate = COLD_SAFETY * self.s.fall_multiple * self.s.cold_from * warm
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -341,6 +341,20 @@
     assert 0 < cold < 2.5 * 0.3 * a_warm_one  # multiple x least capacity, against a warm one's sends
 
 
+def test_a_server_that_has_warmed_half_way_is_used_half_way():
+    """Each router's first send waited for its part of a budget that takes longer to come than the warming:
+    new servers idled while the few old ones drowned (join+vast)."""
+    warm = tuple(server(n, 1) for n in range(11, 15))
+    parts = []
+    for age in (0.0, 6.0):
+        fresh = tuple(server(n, 1, started=100.0 - age) for n in range(30, 36))
+        fleet = (*[server(n, 0) for n in range(1, 6)], *warm, *fresh)
+        _, sends = arrivals(160, 1 / 40.0, 40, fleet)
+        cold = sum(s.server >= 30 for s in sends) / len(fresh)
+        parts.append(cold / (sum(s.server in range(11, 15) for s in sends) / len(warm)))
+    assert parts[0] < 0.5 and 0.5 < parts[1] < 1.0
+
+
 def test_room_is_shared_and_small_parts_are_given_by_chance():
     """A floor of one stream at each writer let every router fill the fleet (grown deployments)."""
     b = Bench(report_fields=("memory_share",), may_probe=True, instances=100)
