Tell the other routers of a long wait at a server, so that each need not wait there to learn

Checked: `_expected` passes such a reader over where its wait is known; but a router sends there once in several seconds, its own sample fades in 2 s (`WAIT_DECAY`), and a lone read that times out teaches no wait at all, only half of an ejection. Ruled out: the cold rule (all were warm) and the room gate (free places in plenty).

Now a wait over 0.5 s and over twice the role's common one is told to the others in 10 bytes, at most once a second for each server from the whole fleet, and who hears it takes it as its own; it fades as that does. A read that timed out tells, too.

--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -59,6 +59,7 @@
 PROBES_A_TURN, PROBE_BURST = 3.5, 6.0  # budget of probes for load: all routers' sum then follows the traffic
 COLD_SAFETY, COLD_FLOOR, COLD_LEAST = 0.6, 0.3, 2.0  # part of the budget in use; sends a s; bucket
 WORK_MEMORY = 5.0  # s; time constant of the measured rate of work sent to a server
+TELL_WAIT = 0.5  # s; longer waits, if they are far over the common one, are told to the other routers
 WRITING = (Role.WRITER, Role.MIXED)
 LOG_EVERY, ASK_FIRST = 5.0, 0.5  # s between log lines; s until a failed list call is repeated
 OVER_MARGIN = 0.5  # part of the time left that a turn beyond its client's quota does without
@@ -122,9 +123,11 @@
 
     def _told_of(self, ev: PeerSaid, now: float) -> None:
         try:
-            self.hearsay.hear(ev.data, now)
+            slow = self.hearsay.hear(ev.data, now)
         except ValueError as error:
-            self.acts.append(Log(f"router {ev.sender} sent {error}"))
+            return self.acts.append(Log(f"router {ev.sender} sent {error}"))
+        if slow and (w := self.workers.get(slow[0])) is not None:
+            w.wait, w.wait_at = max(slow[1], self._wait(w, now)), now
 
     def _level(self, ev: ServiceLevel, now: float) -> None:
         self.service = ev
@@ -251,6 +254,8 @@
         elif ev.outcome not in (Outcome.CANCELED, Outcome.NOT_SENT):
             still = a.streaming and ev.outcome is Outcome.TIMED_OUT
             self._bad(w, now, still or ev.outcome is Outcome.UNREACHABLE)
+            if ev.outcome is Outcome.TIMED_OUT and not a.streaming:
+                self._tell_wait(w, ev.latency, now)
             if ev.outcome is Outcome.FAILED and (word := self.hearsay.failed(w.info.id, now)):
                 self.acts.append(Tell(word))
         if ev.outcome is Outcome.CANCELED and not a.streaming:  # it would have waited longer still
@@ -288,6 +293,12 @@
         common = self.waits[w.role]  # bounded, for lost answers must not pass for a crowd
         bounded = min(sample, COMMON_RISE * common.faded(now, self._span()) + COMMON_STEP)
         common.learn(bounded, now, COMMON_GAIN, self._span())
+        self._tell_wait(w, sample, now)
+
+    def _tell_wait(self, w: Worker, wait: float, now: float) -> None:
+        common = self.waits[w.role].faded(now, self._span())
+        if wait > max(TELL_WAIT, COMMON_RISE * common) and (word := self.hearsay.slow(w.info.id, wait, now)):
+            self.acts.append(Tell(word))
 
     def _homes(self, req: Request, count: int, now: float) -> int:
         """A shared beginning's homes: as many as its part of our turns asks for, so that none fills alone."""
--- a/hopshed/hearsay.py
+++ b/hopshed/hearsay.py
@@ -2,17 +2,22 @@
 
 One of many routers meets each server too rarely to find out by itself which ones fail what they get: of the
 unsafe turns that such servers spoil, nine in ten go to one that another router has seen failing already.
-A message is a kind of one byte and a server's number; whoever hears one doubts that server for a while.
+A message is a kind of one byte and a server's number; whoever hears of a failure doubts that server for a
+while. Of a server with a long wait the message has that, too: else each router waits there to learn of it.
 """
 
 from __future__ import annotations
 
+import math
+
 from .interface import Settings
 
-FAILING = b"F"
+FAILING, SLOW = b"F", b"S"
 NUMBER_BYTES = 8
 DOUBTED_FOR = 10.0  # s for which a failure that another router has seen puts a server in doubt
-SAID_FOR = 5.0  # s in which a server is not spoken of again, whoever spoke
+SAID_FOR = 5.0  # s in which a server's failures are not spoken of again, whoever spoke
+WAIT_FOR = 1.0  # s in which its waits are not
+TENTHS, MOST_TENTHS = 10.0, 255  # a wait is told in tenths of a s, in one byte
 
 
 class Hearsay:
@@ -20,6 +25,7 @@
         self._may_tell = settings.may_tell and settings.instances > 1
         self._heard: dict[int, float] = {}  # server -> when another router last saw it failing
         self._said: dict[int, float] = {}  # server -> when we last told of it
+        self._waits: dict[int, float] = {}  # server -> when its wait was last told, by whomever
 
     def failed(self, server: int, now: float) -> bytes | None:
         """A server has failed an attempt of ours: what to tell the others of it, if they need to be told."""
@@ -29,11 +35,26 @@
         self._said[server] = now
         return FAILING + server.to_bytes(NUMBER_BYTES, "big")
 
-    def hear(self, data: bytes, now: float) -> None:
-        """Raises ValueError where a message is none of ours."""
-        if len(data) != 1 + NUMBER_BYTES or data[:1] != FAILING:
-            raise ValueError(f"a message of {len(data)} bytes that begins with {data[:1]!r}")
-        self._heard[int.from_bytes(data[1:], "big")] = now
+    def slow(self, server: int, wait: float, now: float) -> bytes | None:
+        """We waited so long at a server, in s: what to tell the others of it, if they need to be told."""
+        if not self._may_tell or now - self._waits.get(server, -math.inf) < WAIT_FOR:
+            return None
+        self._waits[server] = now
+        tenths = min(MOST_TENTHS, round(wait * TENTHS))
+        return SLOW + server.to_bytes(NUMBER_BYTES, "big") + bytes([tenths])
+
+    def hear(self, data: bytes, now: float) -> tuple[int, float] | None:
+        """A server and the wait that another router had there, in s, where the message is of that.
+
+        Raises ValueError where a message is none of ours."""
+        server, rest = int.from_bytes(data[1 : 1 + NUMBER_BYTES], "big"), data[1 + NUMBER_BYTES :]
+        if len(data) == 1 + NUMBER_BYTES and data[:1] == FAILING:
+            self._heard[server] = now
+            return None
+        if len(data) == 2 + NUMBER_BYTES and data[:1] == SLOW:
+            self._waits[server] = now
+            return server, rest[0] / TENTHS
+        raise ValueError(f"a message of {len(data)} bytes that begins with {data[:1]!r}")
 
     def doubted(self, server: int, now: float) -> bool:
         return server in self._heard and now - self._heard[server] < DOUBTED_FOR
@@ -41,3 +62,4 @@
     def forget(self, server: int) -> None:
         self._heard.pop(server, None)
         self._said.pop(server, None)
+        self._waits.pop(server, None)
