--- a/yewhook/commands/lab.py
+++ b/yewhook/commands/lab.py
@@ -55,3 +55,17 @@
 
     for line in compare(seeds):
         typer.echo(line)
+
+
+@lab.command()
+def lists(
+    size: Annotated[list[int] | None, typer.Option(min=1, help="Entries of a list; may be repeated.")] = None,
+) -> None:
+    """Print how long a changed list of workers, and the turn after it, keep the loop (ms)."""
+    from yewlab.lists import measure
+
+    for stop in measure(tuple(size or (60, 600))):
+        typer.echo(
+            f"{stop.entries:5d} entries: list {stop.list_median:.2f}, worst {stop.list_worst:.2f}; "
+            f"turn {stop.turn_median:.2f}, worst {stop.turn_worst:.2f}"
+        )
