--- a/yewlab/lists.py
+++ b/yewlab/lists.py
@@ -16,7 +16,7 @@
 from yewhook.registry import Registry
 
 REPEATS = 25
-CHANGED_PART, CELL = 5, 6  # one entry in so many changes its state from list to list; workers of a cell
+CHANGED_PART, CELL = 5, 6  # one entry in so many changes its state each time; workers of a cell
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +35,8 @@
     for size in sizes:
         registry, module = Registry(names, 0.0, Log("lab")), Controller(settings, 1)
         entries = [
-            {"instanceId": f"s-{n}", "hostPort": f"127.0.0.1:{1024 + n}", "cell": n // CELL, "lifecycle": "up",
+            {"instanceId": f"s-{n}", "hostPort": f"127.0.0.1:{1024 + n}", "cell": n // CELL,
+             "lifecycle": "up",
              "zone": names.zones[n % len(names.zones)], "machineType": names.kinds[n % len(names.kinds)]}
             for n in range(size)
         ]  # fmt: skip
