Learn a mixed server's pace from what it really read, once its answer's end has told it

The module believed mixed servers to read a token in 0.013 ms (readers: 0.076), so that neither the gate on reads at mixed servers (`READ_SHARE`) nor the time expected there held anything back.

Checked: `_started` learnt that pace from the time to the first token and the tokens that this router expected to be read; but the text was there already, placed by others of the 40 routers, and the least sample wins. A reader's pace is learnt from the kept tokens that its answer states, and is right.

Now a whole turn teaches a pace when it has ended and its usage event has told what was found kept; until then a mixed server is taken to read no faster than a reader.

--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -223,7 +223,6 @@
         w = a.server
         w.pending.remove(a)
         self._good(w, now)
-        self._learn_pace(w, a.tokens, ev.latency)
         self._learn_wait(w, max(0.0, ev.latency - a.tokens * self.pace[w.role]), now)
         w.floor = min(ev.latency, w.floor * 1.01)
         if ev.latency > max(SLOW_START_MIN, SLOW_START_TOKEN * w.floor):
@@ -313,6 +312,7 @@
             self.paced += 1
             gain = 1.0 if not pace else GAIN if latency / fresh < pace else PACE_UP
             self.pace[w.role] = pace + gain * (latency / fresh - pace)
+            self.pace[Role.MIXED] = self.pace[Role.MIXED] or self.pace[w.role]  # until it is known
 
     def _remember(self, req: Request, w: Worker, now: float) -> None:
         session = self.sessions.pop(req.ev.session, None) or Session()  # kept in the order of last use
@@ -324,6 +324,8 @@
 
     def _served(self, req: Request, a: Attempt, ev: AttemptEnded) -> None:
         stream = max(0.0, ev.latency - a.first)
+        if a.tokens:  # only its end tells what was kept there: of other routers' turns, too
+            self._learn_pace(a.server, max(0.0, req.ev.prompt_tokens - ev.note), a.first)
         mean = self.stream_time[req.ev.cls]
         self.stream_time[req.ev.cls] = mean = mean + SLOW_GAIN * (stream - mean) if mean else stream
         a.server.drag += SLOW_GAIN * (min(DRAG_MAX, stream / max(mean, 1e-3)) - a.server.drag)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -341,6 +341,26 @@
     assert 0 < cold < 2.5 * 0.3 * a_warm_one  # multiple x least capacity, against a warm one's sends
 
 
+def test_a_mixed_servers_pace_is_not_learnt_from_text_that_others_had_it_keep():
+    """Forty routers place the same beginnings: each took what it had not sent there itself for read anew, and
+    believed in a pace six times the true one, and so in room for reads that made all answers crawl."""
+    for kept, pace in ((1800, 0.0), (0, 0.2 / 2000)):
+        b = Bench(fleet=(server(21, 2),), instances=40)
+        b.arrive("a", prompt_tokens=2000.0)
+        b.do(StreamStarted("a", 0, 21, 0.2))
+        b.end("a", Outcome.OK, after=2.0, closed=True, note=kept)
+        assert b.c.pace[Role.MIXED] == pytest.approx(pace)
+
+
+def test_until_it_is_known_a_mixed_server_reads_no_faster_than_a_reader():
+    b = Bench(fleet=(server(1, 0), server(11, 1), server(21, 2)))
+    b.arrive("a", prompt_tokens=2000.0)
+    if b.attempts["a"] == [21]:
+        b.end("a", Outcome.FULL)
+    b.end("a", Outcome.READ, after=0.3)
+    assert b.c.pace[Role.MIXED] == b.c.pace[Role.READER] > 0
+
+
 def test_a_server_that_has_warmed_half_way_is_used_half_way():
     """Each router's first send waited for its part of a budget that takes longer to come than the warming:
     new servers idled while the few old ones drowned (join+vast)."""
