Bound the words kept of servers: a message may name any number

Now, over 1,024 entries, those too old to matter go first. The test tells of 4,096 servers; before, all of them were kept.

--- a/hopshed/hearsay.py
+++ b/hopshed/hearsay.py
@@ -17,6 +17,7 @@
 DOUBTED_FOR = 10.0  # s for which a failure that another router has seen puts a server in doubt
 SAID_FOR = 5.0  # s in which a server's failures are not spoken of again, whoever spoke
 WAIT_FOR = 1.0  # s in which its waits are not
+KEPT = 1024  # servers of which words are kept; a message may name any number, old words then go first
 TENTHS, MOST_TENTHS = 10.0, 255  # a wait is told in tenths of a s, in one byte
 
 
@@ -47,6 +48,9 @@
         """A server and the wait that another router had there, in s, where the message is of that.
 
         Raises ValueError where a message is none of ours."""
+        if len(self._heard) + len(self._waits) > KEPT:
+            self._heard = {n: at for n, at in self._heard.items() if now - at < DOUBTED_FOR}
+            self._waits = {n: at for n, at in self._waits.items() if now - at < WAIT_FOR}
         server, rest = int.from_bytes(data[1 : 1 + NUMBER_BYTES], "big"), data[1 + NUMBER_BYTES :]
         if len(data) == 1 + NUMBER_BYTES and data[:1] == FAILING:
             self._heard[server] = now
--- a/tests/test_hearsay.py
+++ b/tests/test_hearsay.py
@@ -13,7 +13,7 @@
 from scenario import KeptLog
 
 from hopshed import wire
-from hopshed.hearsay import DOUBTED_FOR, SAID_FOR, WAIT_FOR, Hearsay
+from hopshed.hearsay import DOUBTED_FOR, KEPT, SAID_FOR, WAIT_FOR, Hearsay
 from hopshed.interface import Effect, Log, Outcome, PeerSaid, Send, Tell
 from yewhook.loop import Loop
 from yewhook.platform.peers import Peers
@@ -70,6 +70,13 @@
     assert not other.doubted(server, 100.2)
 
 
+def test_words_of_servers_that_nobody_knows_do_not_pile_up() -> None:
+    table = hearsay()
+    for n in range(4 * KEPT):
+        table.hear((b"F" if n % 2 else b"S") + n.to_bytes(8, "big") + (b"" if n % 2 else b"\x0a"), n / 10)
+    assert len(table._heard) + len(table._waits) <= KEPT + 1
+
+
 def routed(told: bool, turns: int = 24) -> list[int]:
     """The writers that unsafe turns go to, after another router has, or has not, told of a failure at 11."""
     b = Bench(effect=Effect.UNSAFE, may_tell=True, instances=40)
