Give up a read that is out before its request is refused, as a router ends

At fault: Router._end in yewhook/core/router.py called the answer first and gave the attempt that was out up after it. A refusal says that nothing runs. Now the attempt ends first. The test fails without this.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import Any
 
 import pytest
 from settings import ENV
@@ -206,6 +207,17 @@
     assert c.client.heard == ["refuse"]
 
 
+def test_a_read_that_is_out_is_given_up_before_its_request_is_refused(c: Core, monkeypatch: Any) -> None:
+    # A refusal says that nothing runs: a router that ended refused first and gave the read up afterwards.
+    c.take(cls=1)
+    c.do(i.Send("a", READER, 1.0))
+    given_up: list[tuple[str, int]] = []
+    monkeypatch.setattr(c.client, "refuse", lambda retry_after: given_up.extend(c.workers.aborted))
+    c.router.break_off()
+    c.do()
+    assert given_up == [("a", 0)] and not c.router.lives
+
+
 def test_exactly_one_final_answer(c: Core) -> None:
     c.take()
     c.do(i.Refuse("a"), i.Fail("a"), i.Refuse("a"))
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -359,15 +359,15 @@
             self._end(life, None, lambda: life.client.break_off(ending))
 
     def _end(self, life: Life, ending: Ending | None, answer: Callable[[], None] | None = None) -> None:
-        """The one way out of a life: at most one answer, no attempt left out, then what is held let go."""
+        """The one way out of a life: no attempt left out, at most one answer, then what is held let go."""
         if life.stage is Stage.ENDED:
             return
         life.stage = Stage.ENDED
         self._stop_timers(life, life.out)
+        if life.out is not None:  # before the answer: a refusal says that nothing runs, nor will
+            self._abort(life, life.out, ending or Ending.CANCELED)
         if answer is not None:
             answer()
-        if life.out is not None:
-            self._abort(life, life.out, ending or Ending.CANCELED)
         self._unsettled.append(life)
 
     def _stop_timers(self, life: Life, attempt: Attempt | None) -> None:
