--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -191,6 +191,9 @@
         return self._stop()
 
     def _stop(self) -> None:
+        """What was taken may be finished in the very sweep in which the last moment is over."""
+        if self.loop.stopped:
+            return
         for front in self.fronts:
             front.close()
         self.loop.stopped = True
