--- a/yewhook/commands/lab.py
+++ b/yewhook/commands/lab.py
@@ -69,3 +69,31 @@
             f"{stop.entries:5d} entries: list {stop.list_median:.2f}, worst {stop.list_worst:.2f}; "
             f"turn {stop.turn_median:.2f}, worst {stop.turn_worst:.2f}"
         )
+
+
+@lab.command()
+def fleet(
+    day: Annotated[list[str] | None, typer.Option(help="A day's name; may be repeated. All without.")] = None,
+    seed: Seed = 1,
+    routers: Annotated[int, typer.Option(min=2, max=1000)] = 200,
+    workers: Annotated[int, typer.Option(min=5, max=1000)] = 100,
+    as_json: Annotated[bool, typer.Option("--json", help="One JSON object at the end.")] = False,
+) -> None:
+    """Play days of many routers on virtual time and check the rules over all of them; exit 1 if one is
+    broken."""
+    from yewlab.mass import DAYS, play_all
+
+    names = day or list(DAYS)
+    if unknown := [name for name in names if name not in DAYS]:
+        raise typer.BadParameter(f"{unknown[0]!r}: expected one of {', '.join(DAYS)}", param_hint="--day")
+    results = play_all(names, seed, routers, workers)
+    for result in results:
+        typer.echo(
+            f"{result.day:<6} {result.turns} turns, worth {result.worth:.3f}, {result.refused} refused, "
+            f"{result.failed} unserved, {len(result.broken)} rules broken"
+            + "".join(f"\n       {what}" for what in (*result.broken[:5], *result.faults[:5])),
+            err=as_json,
+        )
+    if as_json:
+        typer.echo(json.dumps({result.day: result.figures() for result in results}))
+    raise typer.Exit(0 if all(result.holds for result in results) else 1)
--- a/yewlab/fleet.py
+++ b/yewlab/fleet.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Protocol
 
 from hopshed import interface as i
@@ -16,6 +17,7 @@
 from .simulation import Simulation
 
 WIRE = 0.001  # s one way
+Listed = Callable[[ListKind, tuple[i.Server, ...]], None]
 
 
 class Asked(Protocol):
@@ -58,16 +60,16 @@
         self.boxes: dict[int, Box] = {}
         self.states: dict[str, Box] = {}  # request -> where its read state waits
         self.register_delay = 1.0  # s
-        self._routers: list[tuple[int, Callable[[ListKind, tuple[i.Server, ...]], None]]] = []
+        self._routers: dict[int, tuple[float, Listed]] = {}  # s by which each hears later, and how
         self._numbers = 0
         self._look()
 
-    def add(self, engine: Engine, cell: int = 0, cold: bool = False) -> int:
+    def add(self, engine: Engine, cell: int = 0, cold: bool = False, zone: int = 0) -> int:
         """A new box; its number."""
         self._numbers += 1
         kind = self.settings.roles.index(engine.role)
         started = self.sim.now if cold else None
-        info = i.Server(self._numbers, kind, 0, cell, ServerState.RUNNING, started)
+        info = i.Server(self._numbers, kind, zone, cell, ServerState.RUNNING, started)
         self.boxes[info.id] = Box(info, Server(self.sim, engine))
         if cold:
             self._cold(self.boxes[info.id].server)
@@ -77,19 +79,30 @@
     def of(self, role: Role) -> list[int]:
         return [n for n, box in self.boxes.items() if box.server.engine.role is role]
 
-    def join(self, router: int, listed: Callable[[ListKind, tuple[i.Server, ...]], None]) -> None:
-        """A router hears the whole list now and each change from then on."""
-        listed(ListKind.FULL, tuple(box.info for box in self.boxes.values()))
-        self._routers.append((router, listed))
+    def join(self, router: int, listed: Listed, lag: float = 0.0) -> None:
+        """A router hears the whole list now and each change from then on, so many s after the first one."""
+        infos = tuple(box.info for box in self.boxes.values())
+        for info in infos:
+            self._hear(router, listed, info)
+        listed(ListKind.FULL, infos)
+        self._routers[router] = (lag, listed)
+
+    def leave(self, router: int) -> None:
+        """It hears nothing any more, nor what is on its way to it."""
+        del self._routers[router]
 
     def _tell(self, info: i.Server) -> None:
-        def arrive() -> None:
-            for router, listed in self._routers:
-                self.rules.told(router, info.id, info.state is ServerState.RUNNING, self.sim.now)
-                self.rules.started(router, info.id, info.started)
+        def arrive(router: int, listed: Listed) -> None:
+            if self._routers.get(router, (0.0, None))[1] is listed:
+                self._hear(router, listed, info)
                 listed(ListKind.CHANGES, (info,))
 
-        self.sim.after(self.register_delay, arrive)
+        for router, (lag, listed) in self._routers.items():
+            self.sim.after(self.register_delay + lag, partial(arrive, router, listed))
+
+    def _hear(self, router: int, listed: Listed, info: i.Server) -> None:
+        self.rules.told(router, info.id, info.state is ServerState.RUNNING, self.sim.now)
+        self.rules.started(router, info.id, info.started)
 
     # ---- what a script does ----
 
--- a/yewlab/host.py
+++ b/yewlab/host.py
@@ -48,8 +48,10 @@
     levels: LevelsSettings,
     seed: int,
     number: int = 0,
+    lag: float = 0.0,
 ) -> Hosted:
-    """A router that joins the fleet now. It has levels unless their mode is off."""
+    """A router that joins the fleet now and hears of it so many s late. It has levels unless their mode is
+    off."""
     workers, log = RouterWorkers(fleet, number), Silent()
     router = Router(settings, seed, sim.deadlines, sim.clock, workers, log)
     workers.told = router
@@ -61,5 +63,5 @@
         )
         router.governor = governor
     sim.deciders.append(router)
-    fleet.join(number, router.listed)
+    fleet.join(number, router.listed, lag)
     return Hosted(router, governor, changes, log)
--- a/yewlab/rules.py
+++ b/yewlab/rules.py
@@ -66,10 +66,14 @@
             self._break(now, f"{request} answered twice")
         if not one.streaming and (late := self._late(one, now)) > 0:
             self._break(now, f"{request} answered {late:.3f} s late")
-        if refused and one.effect is Effect.UNSAFE and one.may_have_run:
-            self._break(now, f"{request} refused as harmless though it may have run")
+        if refused and one.effect is Effect.UNSAFE and (one.may_have_run or one.out):
+            self._break(now, f"{request} refused as harmless though it may have run, or may yet")
         return None
 
+    def lost(self, request: str) -> None:
+        """Its router's process died: nobody is left to answer it or to let go of anything."""
+        self._open.pop(request, None)
+
     # ---- servers ----
 
     def sent(self, router: int, request: str, server: int, reads: bool, now: float) -> None:
--- a/yewlab/workload.py
+++ b/yewlab/workload.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -99,7 +99,7 @@
         settings: i.Settings,
         traffic: tuple[Traffic, ...],
         seed: str,
-        routers: list[Router],
+        routers: Sequence[Router],
         rules: Rules,
         rate: Callable[[float], float],
         until: float,
