--- a/tests/test_mass.py
+++ b/tests/test_mass.py
@@ -19,9 +19,11 @@
 def test_a_router_that_is_killed_loses_what_it_had_and_another_serves_its_clients() -> None:
     mass = Mass(seed=1, routers=3, workers=5)
     mass.sim.run(mass.sim.now + 5.0)
-    old = mass.hosted[1].router
+    old, ended = mass.hosted[1].router, mass.hosted[1].log
     mass.kill(1, back_after=1.0)
     assert mass.clients.routers[1] is mass.hosted[2].router
     mass.sim.run(mass.sim.now + 2.0)
     assert mass.clients.routers[1] is mass.hosted[1].router is not old
     assert not mass.rules.broken
+    # What went wrong in a process that has ended counts like what goes wrong in one that runs.
+    assert any(log is ended for log in mass.logs)
--- a/yewlab/mass.py
+++ b/yewlab/mass.py
@@ -6,26 +6,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from functools import partial
 from itertools import cycle
 from random import Random
-from typing import Any, overload
+from typing import Any
 
 from hopshed.interface import Role
 from yewhook.core.router import Router
-from yewhook.levels.settings import LevelsSettings, Mode
 
 from . import site
 from .fleet import Fleet
-from .host import Hosted, host
-from .levels import processes
+from .host import Hosted, Silent, host
+from .levels import OFF, processes
 from .rules import Rules
 from .simulation import Simulation
 from .workload import Clients
 
-OFF = LevelsSettings(mode=Mode.OFF)
 TURNS = 0.75  # turns a second for each worker: about half of what such a fleet can do
 BEGIN, TROUBLE = 1.0, 8.0  # s until turns come, and until the trouble begins
 LASTS, AFTER = 26.0, 16.0  # s in which turns come, and then for what is left to end
@@ -39,7 +37,7 @@
 CUT, CUT_FOR, LATE = 0.2, 6.0, 5.0  # part of the workers that fall silent, s; s by which lists are late then
 LOST_FOR = 5.0  # s for which a zone is lost
 BAD, BAD_SPEED = 8, 0.15  # one in so many workers is slow, at this part of its pace
-LAST_MOMENT = 0.2  # s from there to the end of its process
+LAST_MOMENT = 0.2  # s from a router's last answers to the end of its process
 ROLLED, ROLL_EVERY = 10, 1.5  # routers are restarted in so many parts, one every so many s
 
 
@@ -53,7 +51,7 @@
     turns: int
     worth: float  # answered, over the worth asked for
     refused: int
-    failed: int
+    failed: int  # answered with less than a whole stream; those lost with their router are not in it
     faults: tuple[str, ...]  # what cores had to do in place of their modules
     broken: tuple[str, ...]
 
@@ -70,7 +68,7 @@
         }  # fmt: skip
 
 
-class Front(Sequence[Router]):
+class Front:
     """Leads clients to the routers that serve: to the next one where the one asked for does not."""
 
     def __init__(self, hosted: list[Hosted], dead: set[int]) -> None:
@@ -79,17 +77,7 @@
     def __len__(self) -> int:
         return len(self._hosted)
 
-    @overload
-    def __getitem__(self, number: int) -> Router: ...
-
-    @overload
-    def __getitem__(self, number: slice) -> Sequence[Router]: ...
-
-    def __getitem__(self, number: int | slice) -> Router | Sequence[Router]:
-        if isinstance(number, slice):
-            return [self[n] for n in range(*number.indices(len(self)))]
-        if not 0 <= number < len(self):
-            raise IndexError(number)
+    def __getitem__(self, number: int, /) -> Router:
         order = (n % len(self) for n in range(number, number + len(self)))
         return self._hosted[next(n for n in order if n not in self._dead)].router
 
@@ -106,6 +94,7 @@
     rules: Rules = field(init=False)
     fleet: Fleet = field(init=False)
     hosted: list[Hosted] = field(default_factory=list)
+    logs: list[Silent] = field(default_factory=list)  # of every router's process, those that ended too
     dead: set[int] = field(default_factory=set)  # routers that do not serve
     deaf: bool = False  # no router hears another one
     clients: Clients = field(init=False)
@@ -129,6 +118,7 @@
         lag = self.random.uniform(*LAG)
         one = host(self.sim, self.fleet, settings, OFF, self.random.getrandbits(32), number, lag)
         one.router.tell = partial(self._tell, number)
+        self.logs.append(one.log)
         return one
 
     def _tell(self, sender: int, data: bytes) -> None:
@@ -232,7 +222,7 @@
     DAYS[day](mass, mass.sim.now + TROUBLE)
     mass.sim.run(mass.sim.now + BEGIN + LASTS + AFTER)
     tally = mass.clients.tally
-    faults = tuple(fault for one in mass.hosted for fault in one.log.faults)
+    faults = tuple(fault for log in mass.logs for fault in log.faults)
     return Result(
         day, routers, workers, tally.turns, tally.worth, tally.refused, tally.failed, faults,
         tuple(mass.rules.broken),
--- a/yewlab/workload.py
+++ b/yewlab/workload.py
@@ -4,9 +4,10 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from typing import Protocol
 
 from hopshed import interface as i
 from yewhook.core.ending import Ending
@@ -90,6 +91,14 @@
         return self.in_time[cls] / self.asked[cls] if self.asked[cls] else 1.0
 
 
+class Routers(Protocol):
+    """Whom the clients ask, by number."""
+
+    def __len__(self) -> int: ...
+
+    def __getitem__(self, number: int, /) -> Router: ...
+
+
 class Clients:
     """Sends turns to routers and books what becomes of them."""
 
@@ -99,7 +108,7 @@
         settings: i.Settings,
         traffic: tuple[Traffic, ...],
         seed: str,
-        routers: Sequence[Router],
+        routers: Routers,
         rules: Rules,
         rate: Callable[[float], float],
         until: float,
