Open a door for operators, and hold an instance's state in one machine

While a drain holds, idle connections are closed as they fall idle and what is half written 1.9 s after the order is refused. A process that has no list of workers yet says no at /healthz for up to 1 s.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -21,6 +21,7 @@
 
 from yewhook.log import Log
 from yewhook.loop import Loop
+from yewhook.operations.instance import Event
 from yewhook.service import Service
 
 PATIENCE = 5.0  # s of real time after which an expectation counts as missed
@@ -177,6 +178,9 @@
                 party.close(reset=verb == "reset")
         return self
 
+    def sigterm(self) -> None:
+        self.service.hear(Event.TERM)
+
     def end(self) -> None:
         for party in self.parties.values():
             party.shut()
--- a/yewhook/agent.py
+++ b/yewhook/agent.py
@@ -24,6 +24,7 @@
 from .front import ClientConnections
 from .jsonrpc import Code, Handler, Id, Peer, RpcError, encode
 from .loop import Loop
+from .operations.instance import Posture
 from .operators import read as read_settings
 from .service import Acceptor, listen
 from .toolcalls.config import read as read_toolcalls
@@ -507,12 +508,15 @@
     def busy(self) -> bool:
         return any(instance.running for instance in self.instances.values())
 
-    def drain(self) -> None:
-        for instance in self.instances.values():
-            instance.stop()
+    @property
+    def able(self) -> bool:
+        return True
 
-    def stop_accepting(self) -> None:
+    def take(self, posture: Posture) -> None:
         """The agent answers until its last instance has stopped."""
+        if not posture.keeping:
+            for instance in self.instances.values():
+                instance.stop()
 
     def thin_out(self, part: float) -> None:
         """Its instances see to their own streams."""
--- a/yewhook/channel.py
+++ b/yewhook/channel.py
@@ -27,8 +27,11 @@
 
 
 class Channel:
-    def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, connecting: bool = False) -> None:
-        self.loop, self.owner = loop, owner
+    def __init__(
+        self, loop: Loop, sock: socket.socket, owner: Owner, connecting: bool = False, first: bool = False
+    ) -> None:
+        """`first` = heard before the other connections in each turn of the loop."""
+        self.loop, self.owner, self._first = loop, owner, first
         self.closed = False
         self._sock, self._connecting = sock, connecting
         self._out = bytearray()
@@ -106,7 +109,7 @@
         read = 0 if self.paused or self._connecting else selectors.EVENT_READ
         waits = self._connecting or (self._out and not self._unwritable)
         write = selectors.EVENT_WRITE if waits else 0
-        self.loop.watch(self._sock, read | write, self._ready)
+        self.loop.watch(self._sock, read | write, self._ready, self._first)
 
     def _ready(self, mask: int) -> None:
         if self._connecting:
--- a/yewhook/cli.py
+++ b/yewhook/cli.py
@@ -19,6 +19,8 @@
 from .config import read as read_config
 from .front import RouterFront
 from .log import Log
+from .operations.door import FILES, Door
+from .operations.instance import Event
 from .oversight import Oversight
 from .platform.front import PlatformFront
 from .service import Room, Service
@@ -48,13 +50,16 @@
         service.log.use(operators.log)
         config = read_config(os.environ) if platform else None
         limits = config.limits if config else Limits()
-        room = Room(service.loop, limits)
+        door_files = FILES if config is not None and config.mgmt is not None else 0
+        room = Room(service.loop, limits, door_files)
         if config is not None:
             again = partial(read_config, os.environ, again=True)
             fronts.append(PlatformFront(service.loop, config, room, again))
         if toolcalls is not None:
             fronts.append(_toolcalls(service, toolcalls, room))
         oversight = Oversight(service.loop, service.log, limits, fronts, operators, read_operators)
+        if config is not None and config.mgmt is not None:
+            Door(service, config.mgmt)
     except (ConfigError, OSError) as error:
         raise complaint(error) from None
     if not fronts:
@@ -140,7 +145,8 @@
     service = Service(Log("agent"))
     service.heed_signals()
     try:
-        runner = Agent(service.loop, read_fleet(fleet), service.drain, partial(read_fleet, fleet))
+        stop = partial(service.hear, Event.TERM)
+        runner = Agent(service.loop, read_fleet(fleet), stop, partial(read_fleet, fleet))
     except (ConfigError, OSError) as error:
         raise complaint(error) from None
     service.fronts.append(runner)
--- a/yewhook/config.py
+++ b/yewhook/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import tomllib
 from collections.abc import Mapping, Set
 from dataclasses import dataclass
@@ -55,6 +56,8 @@
     peer_listen: Address | None = None  # where messages of other routers arrive
     peers: tuple[Address, ...] = ()  # whence each router's messages come, in the order of their numbers
     peers_all: Address | None = None  # where a message goes that is for all of them
+    mgmt: Address | None = None  # where operators call
+    accept_fd: int | None = None  # the clients' listening socket, where the platform holds it
 
 
 def address(text: Any, what: str) -> Address:
@@ -64,6 +67,17 @@
     return host, int(port)
 
 
+def _descriptor(text: str) -> int:
+    """A descriptor that the process has inherited."""
+    if not text.isdigit():
+        raise ConfigError(f"PROXY_ACCEPT_FD: expected the number of a descriptor, got {text!r}")
+    try:
+        os.fstat(int(text))
+    except OSError as error:
+        raise ConfigError(f"PROXY_ACCEPT_FD: descriptor {text} is not open: {error}") from error
+    return int(text)
+
+
 @dataclass(frozen=True, slots=True)
 class Table:
     """A table of a TOML file, whose values are checked as they are taken out."""
@@ -138,6 +152,7 @@
     told = environ.get("PROXY_DISCOVERY")
     discovery = (raw.get("discovery") or told) if again else (told or raw.get("discovery"))
     limits = raw.get("limits") or {}
+    mgmt, accept_fd = environ.get("PROXY_MGMT") or raw.get("mgmt"), environ.get("PROXY_ACCEPT_FD")
     try:
         return Config(
             name=str(environ.get("PROXY_NAME") or raw.get("name") or "router"),
@@ -156,6 +171,8 @@
             peer_listen=address(raw["peer_listen"], "peer_listen") if raw.get("peer_listen") else None,
             peers=tuple(address(peer, "peers") for peer in raw.get("peers") or ()),
             peers_all=address(raw["peers_all"], "peers_all") if raw.get("peers_all") else None,
+            mgmt=address(mgmt, "PROXY_MGMT") if mgmt else None,
+            accept_fd=_descriptor(accept_fd) if accept_fd else None,
         )
     except (TypeError, ValueError) as error:
         raise ConfigError(f"{path}: {error}") from error
--- a/yewhook/front.py
+++ b/yewhook/front.py
@@ -15,7 +15,8 @@
 from .core.router import Router
 from .levels.level import Vitals
 from .levels.settings import LevelsSettings, Mode
-from .loop import Loop
+from .loop import Loop, Timer
+from .operations.instance import Posture
 from .registry import Registry
 from .releases import Ask, Releases
 from .service import Acceptor, Room, listen
@@ -27,6 +28,7 @@
 GRACE_MOST = 3.0  # s; the platform grants the longest patience of a class, and no more than this
 ROOM_STEP = 32  # idle connections closed at a time when sockets run out
 IDLE_LEAST = 2.0  # s that a connection is left open on which nothing is asked, however short room is
+CLOSING_EVERY, CLOSING_IDLE = 0.1, 0.1  # s between looks while idle connections are closed; s of idleness
 
 
 class ClientConnection(Protocol):
@@ -49,6 +51,8 @@
     def __init__(self, loop: Loop, idle_most: float) -> None:
         self.loop, self._idle_most = loop, idle_most
         self.connections: set[K] = set()
+        self.posture = Posture(healthy=True, accepting=True, keeping=True, closing=False)
+        self._sweeping = Timer(loop)
         self._sweep()
 
     def accepted(self, sock: socket.socket) -> None:
@@ -60,18 +64,19 @@
         for connection in idle[:ROOM_STEP]:
             connection.hang_up()
 
-    def stop_accepting(self) -> None:
-        """Close the idle connections; the others follow with their last answer."""
-        for connection in self._idle(0.0):
-            connection.hang_up()
+    def take(self, posture: Posture) -> None:
+        self.posture = posture
+        self._sweep()
 
     def _idle(self, least: float) -> list[K]:
         return [c for c in self.connections if c.idle and self.loop.now - c.idle_since >= least]
 
     def _sweep(self) -> None:
-        for connection in self._idle(self._idle_most):
+        """While they are closed, one that has just been opened has a moment for its request to come."""
+        closing = self.posture.closing
+        for connection in self._idle(CLOSING_IDLE if closing else self._idle_most):
             connection.hang_up()
-        self.loop.after(1.0, self._sweep)
+        self._sweeping.set(CLOSING_EVERY if closing else 1.0, self._sweep)
 
 
 class Out(Protocol):
@@ -160,6 +165,10 @@
         self._acceptor = Acceptor(self.loop, listener, room.for_clients, clients.make_room, clients.accepted)
         self.loop.log("serving", f"{whose} clients on {address[0]}:{self.port}")
 
+    @property
+    def able(self) -> bool:
+        return bool(self.registry.running())
+
     @property
     def busy(self) -> bool:
         return self.router.busy or self.releases.busy or bool(self._clients.connections)
@@ -196,12 +205,11 @@
         else:
             levels.configure(settings, self.loop.now)
 
-    def drain(self) -> None:
-        """Clients that are not told beforehand connect elsewhere when this end hangs up."""
-
-    def stop_accepting(self) -> None:
-        self._acceptor.stop()
-        self._clients.stop_accepting()
+    def take(self, posture: Posture) -> None:
+        if posture.leaving:
+            self._acceptor.stop()
+        self._acceptor.pause(not posture.accepting)
+        self._clients.take(posture)
 
     def thin_out(self, part: float) -> None:
         self.router.thin_out(part)
--- a/yewhook/loop.py
+++ b/yewhook/loop.py
@@ -35,10 +35,15 @@
         self.sockets = 0  # open ones that this process holds, as their owners count them
         self.accepted = 0  # those of them that others have opened
         self._selector = selectors.DefaultSelector()
+        self._first: set[int] = set()  # files that are heard before all others
 
-    def watch(self, sock: HasFile, events: int, handler: Handler) -> None:
-        """Watch a socket or a pipe's end for these events (0 = none)."""
+    def watch(self, sock: HasFile, events: int, handler: Handler, first: bool = False) -> None:
+        """Watch a socket or a pipe's end for these events (0 = none); `first` = before others in a turn."""
         known = sock.fileno() in self._selector.get_map()
+        if first and events:
+            self._first.add(sock.fileno())
+        else:
+            self._first.discard(sock.fileno())
         if events and known:
             self._selector.modify(sock, events, handler)
         elif events:
@@ -62,6 +67,8 @@
             waits.append(max(0.0, due - self._clock()))
         ready = self._selector.select(min(waits, default=None))
         self.now = self._clock()
+        if self._first:
+            ready.sort(key=lambda heard: heard[0].fd not in self._first)
         for key, mask in ready:
             if self._selector.get_map().get(key.fd) is key:  # an earlier handler may have closed it
                 self._guard(lambda key=key, mask=mask: key.data(mask))  # type: ignore[misc]
--- /dev/null
+++ b/yewhook/operations/instance.py
@@ -0,0 +1,111 @@
+"""The state of one instance, as a pure machine: what it is told moves it, and each state is one posture of
+the fronts. No clock, no I/O.
+
+SIGHUP and a list of workers that goes away move nothing: the configuration is not the state, and an instance
+whose register is silent serves by the last list that it heard.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import NamedTuple
+
+
+class State(Enum):
+    STARTING = "starting"  # no predecessor, and no list of workers yet
+    SUCCEEDING = "succeeding"  # a predecessor serves, and goes on until this process is able to
+    READY = "ready"
+    DRAINING = "draining"  # told to drain; the front may not have heard the no yet
+    DRAINED = "drained"  # what still comes is served, one request a connection
+    HANDING_OVER = "handing over"  # a successor accepts; what was taken here ends here
+    ENDING = "ending"  # told to end; the front may not have heard the no yet
+    LEAVING = "leaving"  # nothing is accepted any more
+
+
+class Event(Enum):
+    ABLE = auto()  # it knows a list of workers
+    DRAIN = auto()  # an operator's order
+    RESUME = auto()  # its end
+    SETTLED = auto()  # the front has had time to hear the no and to stop sending
+    SUCCESSOR_READY = auto()
+    SUCCESSOR_LOST = auto()
+    PREDECESSOR_LOST = auto()
+    TERM = auto()  # SIGTERM or SIGINT
+    RELOAD = auto()  # SIGHUP
+    LIST_GONE = auto()  # the register has fallen silent
+
+
+class Posture(NamedTuple):
+    """What the fronts do."""
+
+    healthy: bool  # `/healthz` says yes
+    accepting: bool
+    keeping: bool  # a connection may bring a further request
+    closing: bool  # connections on which nothing is asked are closed
+    leaving: bool = False  # for good
+
+
+POSTURES = {
+    State.STARTING: Posture(healthy=False, accepting=True, keeping=True, closing=False),
+    State.SUCCEEDING: Posture(healthy=False, accepting=False, keeping=True, closing=False),
+    State.READY: Posture(healthy=True, accepting=True, keeping=True, closing=False),
+    State.DRAINING: Posture(healthy=False, accepting=True, keeping=False, closing=False),
+    State.DRAINED: Posture(healthy=False, accepting=True, keeping=False, closing=True),
+    State.HANDING_OVER: Posture(healthy=True, accepting=False, keeping=False, closing=True),
+    State.ENDING: Posture(healthy=False, accepting=True, keeping=False, closing=False),
+    State.LEAVING: Posture(healthy=False, accepting=False, keeping=False, closing=True, leaving=True),
+}
+
+_MOVES: dict[State, dict[Event, State]] = {
+    State.STARTING: {Event.ABLE: State.READY, Event.TERM: State.ENDING},
+    State.SUCCEEDING: {
+        Event.ABLE: State.READY, Event.PREDECESSOR_LOST: State.STARTING, Event.TERM: State.LEAVING,
+    },
+    State.READY: {
+        Event.DRAIN: State.DRAINING, Event.SUCCESSOR_READY: State.HANDING_OVER, Event.TERM: State.ENDING,
+    },
+    State.DRAINING: {
+        Event.RESUME: State.READY, Event.SETTLED: State.DRAINED,
+        Event.SUCCESSOR_READY: State.HANDING_OVER, Event.TERM: State.ENDING,
+    },
+    State.DRAINED: {
+        Event.RESUME: State.READY, Event.SUCCESSOR_READY: State.HANDING_OVER, Event.TERM: State.ENDING,
+    },
+    State.HANDING_OVER: {Event.SUCCESSOR_LOST: State.READY, Event.TERM: State.LEAVING},
+    State.ENDING: {Event.SETTLED: State.LEAVING, Event.SUCCESSOR_READY: State.LEAVING},
+    State.LEAVING: {},
+}  # fmt: skip
+
+TABLE = {(state, event): moves.get(event, state) for state, moves in _MOVES.items() for event in Event}
+ORDERED = {Event.DRAIN: True, Event.RESUME: False}
+DEAF = frozenset({State.HANDING_OVER, State.ENDING, State.LEAVING})  # orders come too late: another serves
+
+
+@dataclass(frozen=True, slots=True)
+class Instance:
+    state: State
+    drained: bool = False  # an operator's order: it outlives a hand-over, a restart, a successor that is lost
+
+    @property
+    def posture(self) -> Posture:
+        return POSTURES[self.state]
+
+    @property
+    def serves(self) -> bool:
+        """Whether it can serve, though it may be told not to."""
+        return self.state not in (State.STARTING, State.SUCCEEDING, State.LEAVING)
+
+    def obeys(self, event: Event) -> bool:
+        """Whether an operator's order means anything to it still."""
+        return event not in ORDERED or self.state not in DEAF
+
+
+def step(instance: Instance, event: Event) -> Instance:
+    if not instance.obeys(event):
+        return instance
+    drained = ORDERED.get(event, instance.drained)
+    state = TABLE[instance.state, event]
+    if state is State.READY and drained:  # READY stands in the table for "serve, unless told otherwise"
+        state = State.DRAINING
+    return Instance(state, drained)
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 import socket
 from collections import deque
@@ -17,6 +18,7 @@
 from ..core.router import Router
 from ..front import ClientConnections
 from ..loop import Loop, Timer
+from ..operations.instance import Posture
 from . import http
 
 CHAT = b"/v1/chat/completions"
@@ -26,6 +28,7 @@
 PIPELINE = 4  # requests that may wait on one connection behind the one in hand
 ARRIVE = 2.2  # s for a request to arrive whole; for a connection's first one from when it was accepted
 IDLE_MOST = 10.0  # s for which a connection is kept on which nothing is asked
+LAST_ARRIVALS = 1.4  # s of a drain, once new connections end, in which a request may still arrive whole
 PENALTY = 0.5  # s in which a connection is not read again after a request that made no sense
 TOKENS_MOST = 1_000_000  # in a prompt, its opening or its answer; no body holds as many
 PATIENCE_MOST = 3600.0  # s that a client may say it waits
@@ -149,6 +152,12 @@
         """A request is to arrive whole within a while from now."""
         self._timer.set(ARRIVE, self._late)
 
+    def too_late(self) -> None:
+        """A request that comes this late in a drain is not taken any more: what never arrived never ran."""
+        if self.call is not None:
+            self._reject(BadRequest(503, "draining; trying again is harmless"))
+            self._next()
+
     def _late(self) -> None:
         if self.call is None:
             return self.hang_up()  # nothing has been asked on it
@@ -235,8 +244,8 @@
             if call.rejected is not None:
                 self._answer(call.rejected.status, str(call.rejected))
             elif call.target.partition(b"?")[0] == b"/healthz":
-                draining = self.front.draining
-                self._answer(503 if draining else 200, "draining" if draining else "ok")
+                healthy = self.front.posture.healthy
+                self._answer(200 if healthy else 503, "ok" if healthy else "not serving")
             elif call.target.partition(b"?")[0] != CHAT:
                 self._answer(404, "no such path")
             elif call.method != b"POST":
@@ -319,7 +328,7 @@
         self._answer(STATUS.get(ending, 502), f"failed: {ending.name.lower() if ending else 'not served'}")
 
     def _ending_field(self) -> dict[str, str]:
-        self._last = self._last or self.front.draining
+        self._last = self._last or not self.front.posture.keeping
         return {"Connection": "close"} if self._last and not self.waiting else {}
 
     def _answer(self, status: int, text: str, headers: dict[str, str] | None = None) -> None:
@@ -333,7 +342,7 @@
         self.idle_since = self.front.loop.now
         if self.waiting:
             self.front.loop.after(0.0, self._next)
-        elif self._last:
+        elif self._last or not self.front.posture.keeping:  # its head may have been sent before that
             self.hang_up()
 
     # ---- the connection ----
@@ -361,13 +370,21 @@
 
 
 class ClientFront(ClientConnections[ClientConnection]):
-    """The clients' connections. `draining` begins some time before `stop_accepting`."""
-
     def __init__(self, loop: Loop, router: Router, names: Names, held_most: int) -> None:
+        self._drained_at = math.inf
         super().__init__(loop, IDLE_MOST)
         self.router, self.names, self.log = router, names, loop.log
-        self.draining = False
         self.held, self.held_most = 0, held_most  # bytes of bodies in memory
 
     def accepted(self, sock: socket.socket) -> None:
         self.connections.add(ClientConnection(self, sock))
+
+    def take(self, posture: Posture) -> None:
+        self._drained_at = self.loop.now if posture.accepting and posture.closing else math.inf
+        super().take(posture)
+
+    def _sweep(self) -> None:
+        super()._sweep()
+        if self.loop.now - self._drained_at >= LAST_ARRIVALS:
+            for connection in list(self.connections):
+                connection.too_late()
--- a/yewhook/platform/front.py
+++ b/yewhook/platform/front.py
@@ -75,9 +75,6 @@
 
         return put_in_force
 
-    def drain(self) -> None:
-        self.clients.draining = True
-
     def close(self) -> None:
         self.watch.close()
         if self.peers is not None:
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -14,15 +14,17 @@
 
 from .config import Address, ConfigError, Limits
 from .log import Log
-from .loop import Loop
+from .loop import Loop, Timer
+from .operations.instance import Event, Instance, Posture, State, step
 
 OWN_FILES = 16  # of the limit on descriptors: standard streams, listeners, the selector, the wake-up pair
 WORKERS_PART = 3  # one part in so many is kept free of clients, for what they ask for
 BODIES_PART = 8  # one part in so many of the memory may hold bodies of requests
-KEEP_ACCEPTING = 0.5  # s after SIGTERM in which new connections still arrive
+KEEP_ACCEPTING = 0.5  # s after the first no in which the front has heard it and stopped sending
 KILLED_AFTER = 0.7  # s after the grace at which the platform may kill what still runs
 THIN_OUT = 0.1  # s between looks at the streams that still run, a part of which is moved at each
 LAST_MOMENT = 0.4  # s before that at which all that is still open is ended in good order
+ABLE_EVERY, ABLE_MOST = 0.02, 1.0  # s between looks for a first list; s after which it serves without one
 ACCEPT_AT_ONCE, ACCEPT_AGAIN = 64, 0.05  # connections a turn; s until a full process tries again
 
 
@@ -38,8 +40,9 @@
 class Room:
     """What may still be opened or held: clients leave some sockets for what they ask for."""
 
-    def __init__(self, loop: Loop, limits: Limits) -> None:
-        self._loop, self._most = loop, limits.sockets - OWN_FILES
+    def __init__(self, loop: Loop, limits: Limits, kept: int = 0) -> None:
+        """`kept` = descriptors that neither clients nor workers get."""
+        self._loop, self._most = loop, limits.sockets - OWN_FILES - kept
         self._clients = self._most - limits.sockets // WORKERS_PART
         self.for_bodies = limits.memory // BODIES_PART  # bytes
 
@@ -63,6 +66,8 @@
     ) -> None:
         self._loop, self._listener = loop, listener
         self._room, self._make_room, self._accepted = room, make_room, accepted
+        self._again = Timer(loop)
+        self._paused = self._closed = False
         loop.watch(listener, selectors.EVENT_READ, self._accept)
 
     def _accept(self, mask: int) -> None:
@@ -84,21 +89,33 @@
     def _later(self) -> None:
         """Leave what waits in the kernel's queue for a while; tried at once, it would keep the loop busy."""
         self._loop.watch(self._listener, 0, self._accept)
-        self._loop.after(ACCEPT_AGAIN, self._go_on)
+        self._again.set(ACCEPT_AGAIN, self._go_on)
 
     def _go_on(self) -> None:
-        if self._listener.fileno() >= 0:
-            self._loop.watch(self._listener, selectors.EVENT_READ, self._accept)
+        self._loop.watch(self._listener, selectors.EVENT_READ, self._accept)
+
+    def pause(self, paused: bool) -> None:
+        """Leave all that comes in the kernel's queue, or take it again."""
+        if paused != self._paused and not self._closed:
+            self._paused = paused
+            self._again.cancel()
+            self._loop.watch(self._listener, 0 if paused else selectors.EVENT_READ, self._accept)
 
     def stop(self) -> None:
-        if self._listener.fileno() >= 0:
-            self._loop.watch(self._listener, 0, self._accept)
+        """Take nothing any more: new connections are refused, unless another process has the socket, too."""
+        if not self._closed:
+            self.pause(True)
+            self._closed = True
             self._listener.close()
 
 
 class Front(Protocol):
     grace: float  # s that what it has taken may need to end
 
+    @property
+    def able(self) -> bool:
+        """Whether it knows of anybody who could do the work."""
+
     def reload(self) -> Callable[[], str]:
         """Read its configuration anew and check it; returns what puts it in force and says what changed.
 
@@ -109,10 +126,8 @@
     def busy(self) -> bool:
         """Whether something that was taken is not finished."""
 
-    def drain(self) -> None:
-        """Say that this router goes, and still take what comes."""
-
-    def stop_accepting(self) -> None: ...
+    def take(self, posture: Posture) -> None:
+        """Go on as the instance's new state asks."""
 
     def thin_out(self, part: float) -> None:
         """Move that part of the streams that still run, where their clients can go on elsewhere."""
@@ -128,7 +143,9 @@
         self.log, self.loop = log, loop or Loop(log)
         self.fronts: list[Front] = []
         self.files: list[Callable[[], Callable[[], str]]] = []  # read anew with the fronts' configurations
-        self.draining = False
+        self.instance = Instance(State.STARTING)
+        self._began = self.loop.now
+        self._settled = Timer(self.loop)
         self._end_at = 0.0
         self._wake: tuple[FileIO, FileIO] | None = None
 
@@ -148,18 +165,28 @@
         """Serve until told to stop, then finish what was taken."""
         gc.collect()
         gc.freeze()
+        self.begin()
         self.loop.run()
         self.log("stopped")
 
+    def begin(self) -> None:
+        """Serve as soon as there is a list of workers, or without one where none comes."""
+        if self.instance.state is State.STARTING:
+            if all(front.able for front in self.fronts) or self.loop.now - self._began >= ABLE_MOST:
+                return self.hear(Event.ABLE)
+            self.loop.after(ABLE_EVERY, self.begin)
+        return None
+
     def _signalled(self, wake: FileIO) -> None:
         numbers = wake.read(64) or b""  # None where nothing has come
         if signal.SIGHUP in numbers:
             self.reload()
         if {signal.SIGTERM, signal.SIGINT} & set(numbers):
-            self.drain()
+            self.hear(Event.TERM)
 
     def reload(self) -> None:
         """Put new configuration files in force: all of them, or none where one is not good."""
+        self.hear(Event.RELOAD)
         try:
             ready = [read() for read in [*self.files, *(front.reload for front in self.fronts)]]
         except ConfigError as error:
@@ -168,22 +195,24 @@
         changes = "; ".join(filter(None, [change() for change in ready]))
         self.log("reloaded", changes or "nothing that can change while it runs has changed")
 
-    def drain(self) -> None:
-        if self.draining:
+    def hear(self, event: Event) -> None:
+        """What moves the instance's state, and what follows from it."""
+        before, self.instance = self.instance, step(self.instance, event)
+        after = self.instance.state
+        if after is before.state:
             return
-        self.draining = True
-        self.log("draining")
-        for front in self.fronts:
-            front.drain()
-        self.loop.after(KEEP_ACCEPTING, self._stop_accepting)
-        grace = max(front.grace for front in self.fronts)
-        self._end_at = self.loop.now + grace + KILLED_AFTER - LAST_MOMENT
-        self.loop.after(2 * KEEP_ACCEPTING, self._thin_out)
-
-    def _stop_accepting(self) -> None:
+        self.log("state", f"{before.state.value} to {after.value}")
         for front in self.fronts:
-            front.stop_accepting()
-        self._finish()
+            front.take(self.instance.posture)
+        self._settled.cancel()
+        if after in (State.DRAINING, State.ENDING):
+            self._settled.set(KEEP_ACCEPTING, lambda: self.hear(Event.SETTLED))
+        if event is Event.TERM:
+            grace = max(front.grace for front in self.fronts)
+            self._end_at = self.loop.now + grace + KILLED_AFTER - LAST_MOMENT
+            self.loop.after(2 * KEEP_ACCEPTING, self._thin_out)
+        if after is State.LEAVING:
+            self._finish()
 
     def _finish(self) -> None:
         if any(front.busy for front in self.fronts):
--- a/yewhook/toolcalls/clients.py
+++ b/yewhook/toolcalls/clients.py
@@ -132,7 +132,7 @@
     def done(self, exchange: Exchange) -> None:
         self.exchanges.pop(exchange.asked, None)
         self.peer.idle_since = self.front.loop.now
-        if self.front.accepting_over and not self.exchanges:
+        if self.front.posture.closing and not self.exchanges:
             self.front.loop.after(0.0, self.peer.hang_up)
 
     def slow(self, peer: Peer, slow: bool) -> None:
@@ -169,11 +169,6 @@
     def __init__(self, loop: Loop, router: Router, names: Names) -> None:
         super().__init__(loop, IDLE_MOST)
         self.router, self.names = router, names
-        self.accepting_over = False
 
     def accepted(self, sock: socket.socket) -> None:
         self.connections.add(ClientConnection(self, sock))
-
-    def stop_accepting(self) -> None:
-        self.accepting_over = True
-        super().stop_accepting()
