Replace a process under load: a line in $TMPDIR, a hand-over, the inherited listener

The new process accepts, marks itself ready, says yes; the old one then leaves the queue to it and takes it back where the mark stands still for 1 s or the lock falls free. The peers' port passes over with the clients, and each process takes half of the descriptors while there are two.

--- /dev/null
+++ b/hopshed/handover.py
@@ -0,0 +1,99 @@
+"""What one controller has learnt, for the one that takes its place in the same instance. No I/O.
+
+Requests are not handed over: each ends where it was taken. Times are those of the controllers' clock, which
+both must share. Of a cold server's budget each of the two keeps half, for both may still send to it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, fields
+
+from .control import Controller
+from .interface import Role
+from .state import Estimate, Session
+
+SESSIONS_MOST, KEPT_MOST = 20_000, 20_000  # the latest; each is some 60 bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Learnt:
+    """Of one server, under the names of `state.Worker`."""
+
+    listed: float
+    wait: float
+    wait_at: float
+    floor: float
+    limit: float | None
+    hit: float
+    drag: float
+    errors: float
+    ejected: float
+    ejections: int
+    trial: bool
+    failed_at: float
+    life: float
+    cold_level: float
+    cold_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Knowledge:
+    servers: dict[int, Learnt]
+    work: dict[int, Estimate]  # server -> rate of work sent there
+    sessions: list[tuple[str, Session]]  # in the order of last use, as the next two
+    kept: list[tuple[int, str, Estimate]]  # server, beginning
+    seen: list[tuple[str, Estimate]]  # beginning
+    waits: dict[Role, Estimate]
+    pace: dict[Role, float]
+    paced: int
+    means: tuple[float, float, float, float]  # prompt, fresh, context, gap between arrivals
+    by_class: list[tuple[float, float]]  # stream time, tokens
+    by_tenant: list[tuple[float, float]]  # part that leaves, its age
+    quotas: list[tuple[float, float]]  # level, at
+    words: tuple[dict[int, float], dict[int, float], dict[int, float]]  # failing heard, said; waits
+
+
+def take(c: Controller) -> Knowledge:
+    """What a controller knows; half of each cold server's budget goes with it."""
+    for worker in c.workers.values():
+        if worker.cold_level > 0:
+            worker.cold_level /= 2
+    names = [field.name for field in fields(Learnt)]
+    return Knowledge(
+        servers={n: Learnt(*(getattr(w, name) for name in names)) for n, w in c.workers.items()},
+        work={n: w.work for n, w in c.workers.items()},
+        sessions=list(c.sessions.items())[-SESSIONS_MOST:],
+        kept=[(n, key, used) for (n, key), used in list(c.kept.items())[-KEPT_MOST:]],
+        seen=list(c.seen.items()),
+        waits=c.waits,
+        pace=c.pace,
+        paced=c.paced,
+        means=(c.mean_prompt, c.mean_fresh, c.context, c.gap),
+        by_class=list(zip(c.stream_time, c.class_tokens, strict=True)),
+        by_tenant=list(zip(c.leaving, c.leave_age, strict=True)),
+        quotas=[(bucket.level, bucket.at) for bucket in c.quotas.buckets],
+        words=c.hearsay.words(),
+    )
+
+
+def give(c: Controller, known: Knowledge, now: float) -> None:
+    """Let a controller that has heard its list, and nothing else, go on from another's knowledge.
+
+    Raises ValueError where the two were made for other settings; then nothing has changed."""
+    if len(known.by_class) != len(c.stream_time) or len(known.by_tenant) != len(c.leaving):
+        raise ValueError("other classes or tenants")
+    for number, learnt in known.servers.items():
+        if (worker := c.workers.get(number)) is not None:
+            for field in fields(Learnt):
+                setattr(worker, field.name, getattr(learnt, field.name))
+            worker.work = known.work.get(number, Estimate())
+    c.sessions, c.seen = dict(known.sessions), dict(known.seen)
+    c.kept = {(number, key): used for number, key, used in known.kept}
+    c.waits, c.pace = c.waits | known.waits, c.pace | known.pace
+    c.paced, c.came = known.paced, now
+    c.mean_prompt, c.mean_fresh, c.context, c.gap = known.means
+    c.stream_time, c.class_tokens = (list(part) for part in zip(*known.by_class, strict=True))
+    c.leaving, c.leave_age = (list(part) for part in zip(*known.by_tenant, strict=True))
+    for bucket, told in zip(c.quotas.buckets, known.quotas, strict=False):
+        bucket.level, bucket.at = told
+    c.hearsay.resume(known.words)
--- a/hopshed/hearsay.py
+++ b/hopshed/hearsay.py
@@ -63,6 +63,13 @@
     def doubted(self, server: int, now: float) -> bool:
         return now - self._heard.get(server, -math.inf) < DOUBTED_FOR
 
+    def words(self) -> tuple[dict[int, float], dict[int, float], dict[int, float]]:
+        return self._heard, self._said, self._waits
+
+    def resume(self, words: tuple[dict[int, float], dict[int, float], dict[int, float]]) -> None:
+        """Go on from what another one has heard and said in this router's name."""
+        self._heard, self._said, self._waits = (dict(part) for part in words)
+
     def forget(self, server: int) -> None:
         self._heard.pop(server, None)
         self._said.pop(server, None)
--- a/hopshed/quota.py
+++ b/hopshed/quota.py
@@ -13,11 +13,11 @@
 
     def __init__(self, settings: Settings) -> None:
         self._rates = [tenant.quota_per_s / settings.instances for tenant in settings.tenants]
-        self._buckets = [Bucket() for _ in settings.tenants]
+        self.buckets = [Bucket() for _ in settings.tenants]
 
     def over(self, tenant: int, now: float) -> bool:
         """Book one turn of a client; whether it is beyond its quota. A client without one never is."""
         if tenant >= len(self._rates) or self._rates[tenant] <= 0:
             return False
         rate = self._rates[tenant]
-        return not self._buckets[tenant].take(rate, max(LEAST, rate * BURST), now)
+        return not self.buckets[tenant].take(rate, max(LEAST, rate * BURST), now)
--- a/yewhook/cli.py
+++ b/yewhook/cli.py
@@ -15,7 +15,7 @@
 from .commands.common import AGENT, At, ask_agent, complaint, read_settings
 from .commands.lab import lab
 from .commands.levels import level_of, levels
-from .config import Address, ConfigError, Limits
+from .config import Address, Config, ConfigError, Limits
 from .config import read as read_config
 from .front import RouterFront
 from .log import Log
@@ -53,13 +53,10 @@
         door_files = FILES if config is not None and config.mgmt is not None else 0
         room = Room(service.loop, limits, door_files)
         if config is not None:
-            again = partial(read_config, os.environ, again=True)
-            fronts.append(PlatformFront(service.loop, config, room, again))
+            fronts.append(_platform(service, config, room))
         if toolcalls is not None:
             fronts.append(_toolcalls(service, toolcalls, room))
         oversight = Oversight(service.loop, service.log, limits, fronts, operators, read_operators)
-        if config is not None and config.mgmt is not None:
-            Door(service, config.mgmt)
     except (ConfigError, OSError) as error:
         raise complaint(error) from None
     if not fronts:
@@ -73,6 +70,24 @@
     service.run()
 
 
+def _platform(service: Service, config: Config, room: Room) -> RouterFront:
+    succession = None
+    if config.accept_fd is not None:
+        # Only where a process can be replaced; what the hand-over needs is not free.
+        from .operations.succession import take_place
+
+        succession = take_place(service, os.environ, config.name)
+    if config.mgmt is not None:
+        Door(service, config.mgmt)
+    handed = succession.await_handover() if succession is not None else None
+    succeeds = succession is not None and succession.succeeds
+    again = partial(read_config, os.environ, again=True)
+    front = PlatformFront(service.loop, config, room, again, succeeds, handed)
+    if succession is not None:
+        succession.attend(front.knowledge, room)
+    return front
+
+
 def _toolcalls(service: Service, path: Path, room: Room) -> RouterFront:
     # Only this front needs a DNS library, and a router of the platform has little memory.
     from .toolcalls.config import read
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -13,6 +13,7 @@
 
 from hopshed import Controller
 from hopshed import interface as i
+from hopshed.handover import Knowledge, give, take
 
 from ..deadlines import Deadline, Deadlines
 from ..log import Log
@@ -126,6 +127,20 @@
                 self._told_off.setdefault(server.id, self._clock())
         self._facts.append(i.ServersListed(kind, servers))
 
+    def knowledge(self) -> Knowledge:
+        """What the module has learnt, for a successor."""
+        return take(self._module)
+
+    def resume(self, told_off: dict[int, float], known: Knowledge) -> None:
+        """Go on from a predecessor's knowledge, once the list has been heard. Raises ValueError."""
+        self._told_off.update((n, at) for n, at in told_off.items() if n in self._told_off)
+        self.turn(self._clock())
+        give(self._module, known, self._clock())
+
+    @property
+    def told_off(self) -> dict[int, float]:
+        return dict(self._told_off)
+
     def _forget(self, number: int) -> None:
         """Let go of all that is known of a server that has been gone for long; ids never come to an end."""
         server = self.servers.get(number)
--- a/yewhook/front.py
+++ b/yewhook/front.py
@@ -157,10 +157,17 @@
         workers.told = self.router
         self.loop.deciders.append(self.router)
 
-    def open(self, clients: ClientConnections[Any], address: Address, room: Room, whose: str) -> None:
-        """Begin to take clients."""
+    def open(
+        self,
+        clients: ClientConnections[Any],
+        address: Address,
+        room: Room,
+        whose: str,
+        listener: socket.socket | None = None,
+    ) -> None:
+        """Begin to take clients, on the socket that listens already where there is one."""
         self._clients = clients
-        listener = listen(address)
+        listener = listener or listen(address)
         self.port: int = listener.getsockname()[1]
         self._acceptor = Acceptor(self.loop, listener, room.for_clients, clients.make_room, clients.accepted)
         self.loop.log("serving", f"{whose} clients on {address[0]}:{self.port}")
--- /dev/null
+++ b/yewhook/operations/form.py
@@ -0,0 +1,83 @@
+"""What a process hands to its successor, as bytes: a line that says the form, its length and its checksum,
+then the content. Imported only where processes are replaced: the library is not free."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from hopshed import interface as i
+from hopshed.handover import Knowledge
+
+from ..config import Address
+
+FORM = 1  # a process reads its own form and no other
+NAME = b"yewhook-handover"
+
+
+class FormError(Exception):
+    """Why a hand-over is passed over."""
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One worker of the list, and where it listens."""
+
+    id: int
+    kind: int
+    zone: int
+    cell: int
+    state: i.ServerState
+    started: float | None
+    weight: float
+    address: Address | None
+
+
+def listed(servers: Iterable[tuple[i.Server, Address | None]]) -> list[Listed]:
+    return [
+        Listed(s.id, s.kind, s.zone, s.cell, s.state, s.started, s.weight, place) for s, place in servers
+    ]
+
+
+def servers(entries: Iterable[Listed]) -> list[tuple[i.Server, Address | None]]:
+    return [
+        (i.Server(e.id, e.kind, e.zone, e.cell, e.state, e.started, e.weight), e.address)
+        for e in entries
+    ]
+
+
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    at: float  # s on the machine's monotonic clock
+    drained: bool  # by an operator's order
+    generation: int  # of the list
+    servers: list[Listed]
+    told_off: dict[int, float]  # server -> since when it is told to drain or be gone
+    module: Knowledge
+
+
+def pack(content: HandOver) -> bytes:
+    body = msgspec.msgpack.encode(content)
+    return b"%s %d %d %08x\n" % (NAME, FORM, len(body), zlib.crc32(body)) + body
+
+
+def unpack(data: bytes, now: float) -> HandOver:
+    """Raises FormError where it is not whole, not ours, of another form, or not of this machine's present."""
+    head, _, body = data.partition(b"\n")
+    words = head.split(b" ")
+    if len(words) != 4 or words[0] != NAME:
+        raise FormError("not a hand-over")
+    if words[1] != b"%d" % FORM:
+        raise FormError(f"of form {words[1].decode('latin-1')[:9]}, and {FORM} is read here")
+    if words[2] != b"%d" % len(body) or words[3] != b"%08x" % zlib.crc32(body):
+        raise FormError("torn or damaged")
+    try:
+        content = msgspec.msgpack.decode(body, type=HandOver)
+    except msgspec.MsgspecError as error:
+        raise FormError(str(error)) from error
+    if content.at > now:
+        raise FormError("written on another clock")
+    return content
--- a/yewhook/operations/instance.py
+++ b/yewhook/operations/instance.py
@@ -58,9 +58,12 @@
 }
 
 _MOVES: dict[State, dict[Event, State]] = {
-    State.STARTING: {Event.ABLE: State.READY, Event.TERM: State.ENDING},
+    State.STARTING: {
+        Event.ABLE: State.READY, Event.SUCCESSOR_READY: State.HANDING_OVER, Event.TERM: State.ENDING,
+    },
     State.SUCCEEDING: {
-        Event.ABLE: State.READY, Event.PREDECESSOR_LOST: State.STARTING, Event.TERM: State.LEAVING,
+        Event.ABLE: State.READY, Event.PREDECESSOR_LOST: State.STARTING,
+        Event.SUCCESSOR_READY: State.HANDING_OVER, Event.TERM: State.LEAVING,
     },
     State.READY: {
         Event.DRAIN: State.DRAINING, Event.SUCCESSOR_READY: State.HANDING_OVER, Event.TERM: State.ENDING,
--- /dev/null
+++ b/yewhook/operations/watch.py
@@ -0,0 +1,47 @@
+"""What a process makes of its neighbours in the line. No I/O: sights come in, events and tasks go out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from .instance import Event
+
+LOOK_EVERY = 0.1  # s between looks at the line
+RENEW = 0.25  # s between renewals of the mark, while anybody is there to read it
+HUNG = 1.0  # s without a renewal after which a successor counts as hung
+
+
+class Sight(NamedTuple):
+    """The line as it is seen at one moment."""
+
+    predecessor: int | None
+    successor: int | None  # the next one
+    ready_age: float | None  # s since a successor said that it accepts; None where none has
+
+
+@dataclass(slots=True)
+class Neighbours:
+    """Remembers what has been seen and done."""
+
+    had_predecessor: bool
+    handed_to: int | None = None
+    succeeded: bool = False
+
+    def see(self, sight: Sight) -> list[Event]:
+        events = []
+        if self.had_predecessor and sight.predecessor is None:
+            self.had_predecessor = False
+            events.append(Event.PREDECESSOR_LOST)
+        serves = sight.successor is not None and sight.ready_age is not None and sight.ready_age < HUNG
+        if serves is not self.succeeded:
+            self.succeeded = serves
+            events.append(Event.SUCCESSOR_READY if serves else Event.SUCCESSOR_LOST)
+        return events
+
+    def to_hand(self, sight: Sight) -> int | None:
+        """The successor that is to be told what this process knows: each is told once."""
+        if sight.successor is None or sight.successor == self.handed_to:
+            return None
+        self.handed_to = sight.successor
+        return sight.successor
--- a/yewhook/platform/discovery.py
+++ b/yewhook/platform/discovery.py
@@ -47,6 +47,11 @@
         self._next = Timer(loop)  # the next look at this connection, or the next one
         self._connect()
 
+    @property
+    def generation(self) -> int:
+        """Of the last list heard."""
+        return self._generation
+
     def move(self, address: Address) -> None:
         """Go on at another address. Its numbering may be its own, so it is asked for the whole list, and the
         old list stays in use until that has come."""
--- a/yewhook/platform/front.py
+++ b/yewhook/platform/front.py
@@ -4,24 +4,38 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import TYPE_CHECKING
 
 from hopshed import interface as i
 
 from ..config import Config
 from ..front import RouterFront
 from ..loop import Loop
-from ..service import Room
+from ..operations.instance import Posture
+from ..service import Room, inherited
 from .clients import ClientFront
 from .discovery import Watch
 from .peers import Peers
 from .reservations import delete
 from .workers import HttpWorkers, WorkerPool
 
+if TYPE_CHECKING:
+    from ..operations.form import HandOver
+
 
 class PlatformFront(RouterFront):
     whose = "platform"
 
-    def __init__(self, loop: Loop, config: Config, room: Room, read_again: Callable[[], Config]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        config: Config,
+        room: Room,
+        read_again: Callable[[], Config],
+        succeeds: bool = False,
+        handed: HandOver | None = None,
+    ) -> None:
+        """`succeeds` = another process of this instance serves still; `handed` = what that knows."""
         self._config, self._read_again = config, read_again
         self.pool = pool = WorkerPool(loop, room.for_workers, config.connect_timeout, config.idle_limit)
         super().__init__(
@@ -33,27 +47,61 @@
         )
         self.workers = HttpWorkers(pool, config.names.columns, self.registry, self.releases.release)
         self.route(self.workers, config.seed)
-        try:
-            known = self.registry.read(config.known)
-        except (KeyError, TypeError, ValueError) as error:
-            loop.log("known list not understood", str(error))
-            known = ()
-        self.router.listed(i.ListKind.SAVED, known)
+        generation = self._resume(handed) if handed is not None else self._begin()
         self.peers: Peers | None = None
         if config.settings.may_tell and config.peer_listen and config.peers_all:
             self.peers = Peers(
-                loop, config.peer_listen, config.peers, config.peers_all, self.router.peer_said
+                loop, config.peer_listen, config.peers, config.peers_all, self.router.peer_said, succeeds
             )
             self.router.tell = self.peers.tell
         self.clients = ClientFront(loop, self.router, config.names, room.for_bodies)
-        self.open(self.clients, config.listen, room, "the platform's")
-        generation = int(config.known.get("generation") or 0)
+        listener = inherited(config.accept_fd) if config.accept_fd is not None else None
+        self.open(self.clients, config.listen, room, "the platform's", listener)
         # The router's seed is new with each start and another at each router.
         self.watch = Watch(
             loop, config.discovery, generation, self.registry, self._listed,
             config.settings.instances, Random(config.seed),
         )  # fmt: skip
 
+    def _begin(self) -> int:
+        """Go on from the configuration's list; its generation."""
+        try:
+            known = self.registry.read(self._config.known)
+        except (KeyError, TypeError, ValueError) as error:
+            self.loop.log("known list not understood", str(error))
+            known = ()
+        self.router.listed(i.ListKind.SAVED, known)
+        return int(self._config.known.get("generation") or 0)
+
+    def _resume(self, handed: HandOver) -> int:
+        """Go on from what a predecessor knows."""
+        from ..operations import form
+
+        self.router.listed(i.ListKind.SAVED, self.registry.resume(form.servers(handed.servers)))
+        try:
+            self.router.resume(handed.told_off, handed.module)
+        except ValueError as error:
+            self.loop.log("hand-over passed over", f"what the module has learnt: {error}")
+        return handed.generation
+
+    def knowledge(self, drained: bool) -> HandOver:
+        """What a successor goes on from."""
+        from ..operations import form
+
+        known = [s for s in self.router.servers.values() if s.state is not i.ServerState.GONE]
+        listed = form.listed((server, self.registry.addresses.get(server.id)) for server in known)
+        router = self.router
+        return form.HandOver(
+            self.loop.now, drained, self.watch.generation, listed, router.told_off, router.knowledge()
+        )
+
+    def take(self, posture: Posture) -> None:
+        super().take(posture)
+        if self.peers is not None and posture.accepting:
+            self.peers.open()
+        elif self.peers is not None and posture.healthy:  # a successor speaks in this router's name
+            self.peers.close()
+
     def _listed(self, kind: i.ListKind, servers: tuple[i.Server, ...]) -> None:
         self.pool.keep_only(self.registry.in_use())
         self.router.listed(kind, servers)
--- a/yewhook/platform/peers.py
+++ b/yewhook/platform/peers.py
@@ -7,10 +7,11 @@
 from collections.abc import Callable
 
 from ..config import Address
-from ..loop import Loop
+from ..loop import Loop, Timer
 
 LONGEST = 256  # bytes of a message; a longer one is not permitted
 AT_ONCE = 64  # messages read in a turn
+OPEN_AGAIN = 0.05  # s between tries for an address that another process of this instance still has
 
 
 class Peers:
@@ -21,19 +22,43 @@
         peers: tuple[Address, ...],
         everyone: Address,
         heard: Callable[[int, bytes], None],
+        waits: bool = False,
     ) -> None:
         """`peers` = whence each router's messages come, its number being its place; others are not heard.
-        Raises OSError."""
+        `waits` = another process of this instance may still have the address. Raises OSError."""
         self._loop, self._everyone, self._heard = loop, everyone, heard
-        self._numbers = {address: number for number, address in enumerate(peers)}
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.bind(listen)
-        loop.sockets += 1
-        loop.watch(self._socket, selectors.EVENT_READ, self._receive)
+        self._listen, self._numbers = listen, {address: number for number, address in enumerate(peers)}
+        self._socket: socket.socket | None = None
+        self._again = Timer(loop)
+        if waits:
+            self.open()
+        else:
+            self._open()
+
+    def _open(self) -> None:
+        mine = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        mine.setblocking(False)
+        try:
+            mine.bind(self._listen)
+        except OSError:
+            mine.close()
+            raise
+        self._socket = mine
+        self._loop.sockets += 1
+        self._loop.watch(mine, selectors.EVENT_READ, self._receive)
+
+    def open(self) -> None:
+        """Hear and speak again, once the other process has let the address go."""
+        if self._socket is None:
+            try:
+                self._open()
+            except OSError:
+                self._again.set(OPEN_AGAIN, self.open)
 
     def tell(self, data: bytes) -> None:
         """Tell all other routers. What can't be sent is lost like what the network loses."""
+        if self._socket is None:
+            return
         if len(data) > LONGEST:
             raise ValueError(f"a message of {len(data)} bytes, at most {LONGEST} are permitted")
         try:
@@ -43,6 +68,8 @@
 
     def _receive(self, mask: int) -> None:
         for _ in range(AT_ONCE):
+            if self._socket is None:
+                return
             try:
                 data, sender = self._socket.recvfrom(LONGEST + 1)
             except BlockingIOError:
@@ -54,6 +81,9 @@
                 self._heard(number, data)
 
     def close(self) -> None:
-        self._loop.watch(self._socket, 0, self._receive)
-        self._socket.close()
-        self._loop.sockets -= 1
+        self._again.cancel()
+        if self._socket is not None:
+            self._loop.watch(self._socket, 0, self._receive)
+            self._socket.close()
+            self._loop.sockets -= 1
+            self._socket = None
--- a/yewhook/registry.py
+++ b/yewhook/registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from hashlib import blake2b
 from typing import Any
 
@@ -66,6 +67,13 @@
         self.states.update((server.id, server.state) for server in servers)
         return tuple(servers)
 
+    def resume(self, servers: Iterable[tuple[i.Server, Address | None]]) -> tuple[i.Server, ...]:
+        """Go on from a list that another process of this instance has held."""
+        listed = dict(servers)
+        self.addresses = {server.id: place for server, place in listed.items() if place is not None}
+        self.states = {server.id: server.state for server in listed}
+        return tuple(listed)
+
     def forget(self, number: int) -> None:
         self.addresses.pop(number, None)
         self.states.pop(number, None)
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -28,6 +28,19 @@
 ACCEPT_AT_ONCE, ACCEPT_AGAIN = 64, 0.05  # connections a turn; s until a full process tries again
 
 
+def inherited(descriptor: int) -> socket.socket:
+    """The listening socket that this process was started with; others may have it, too."""
+    try:
+        listener = socket.socket(fileno=descriptor)
+        listens = listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    except OSError as error:
+        raise ConfigError(f"PROXY_ACCEPT_FD: descriptor {descriptor} is no socket: {error}") from error
+    if not listens:
+        raise ConfigError(f"PROXY_ACCEPT_FD: the socket of descriptor {descriptor} does not listen")
+    listener.setblocking(False)
+    return listener
+
+
 def listen(address: Address) -> socket.socket:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -42,12 +55,18 @@
 
     def __init__(self, loop: Loop, limits: Limits, kept: int = 0) -> None:
         """`kept` = descriptors that neither clients nor workers get."""
-        self._loop, self._most = loop, limits.sockets - OWN_FILES - kept
-        self._clients = self._most - limits.sockets // WORKERS_PART
+        self._loop, self._sockets = loop, limits.sockets
+        self._most = self._whole = limits.sockets - OWN_FILES - kept
         self.for_bodies = limits.memory // BODIES_PART  # bytes
 
+    def share(self, shared: bool) -> None:
+        """Leave a half to the other process of this instance, as far as it is not in use already."""
+        half = self._whole // 2
+        self._most = max(half, min(self._whole, self._loop.sockets + OWN_FILES)) if shared else self._whole
+
     def for_clients(self) -> bool:
-        return self._loop.accepted < self._clients and self.for_workers()
+        clients = self._most - self._sockets * self._most // (self._whole * WORKERS_PART)
+        return self._loop.accepted < clients and self.for_workers()
 
     def for_workers(self) -> bool:
         return self._loop.sockets < self._most
@@ -171,10 +190,16 @@
 
     def begin(self) -> None:
         """Serve as soon as there is a list of workers, or without one where none comes."""
-        if self.instance.state is State.STARTING:
+        self._began = self.loop.now
+        for front in self.fronts:
+            front.take(self.instance.posture)
+        self._look_whether_able()
+
+    def _look_whether_able(self) -> None:
+        if self.instance.state in (State.STARTING, State.SUCCEEDING):
             if all(front.able for front in self.fronts) or self.loop.now - self._began >= ABLE_MOST:
                 return self.hear(Event.ABLE)
-            self.loop.after(ABLE_EVERY, self.begin)
+            self.loop.after(ABLE_EVERY, self._look_whether_able)
         return None
 
     def _signalled(self, wake: FileIO) -> None:
@@ -208,7 +233,7 @@
         if after in (State.DRAINING, State.ENDING):
             self._settled.set(KEEP_ACCEPTING, lambda: self.hear(Event.SETTLED))
         if event is Event.TERM:
-            grace = max(front.grace for front in self.fronts)
+            grace = max((front.grace for front in self.fronts), default=0.0)
             self._end_at = self.loop.now + grace + KILLED_AFTER - LAST_MOMENT
             self.loop.after(2 * KEEP_ACCEPTING, self._thin_out)
         if after is State.LEAVING:
