Let connections that lose least give way at once when room is short

Cause: Acceptor._accept stopped for 0.05 s at each full table, ClientConnections.make_room closed only what had been idle for 2 s (IDLE_LEAST), a request that stopped half way held its place for 2.2 s, and Channel.finish then waited 1 s more for a client that never closes: 180 connections a second and router, most of which ask once and stay, against room for 214. Ruled out: CPU (0.35 of a core in the worst second), the backlog alone (the log has 'too many sockets' through the whole crowd).

Change: yewhook/crowding.py, free of I/O, says who gives way: answered and idle, then silent from the start, then stopped half way; they are closed at once unless bytes wait, and the acceptor goes on in the same turn. The backlog is 4096.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -9,6 +9,7 @@
 from test_platform import Platform, ask
 
 from yewhook.config import Limits
+from yewhook.crowding import Stand, Standing, give_way
 from yewhook.loop import Timer
 from yewhook.service import Room
 
@@ -167,3 +168,14 @@
     second.set(0.1, lambda: called.append("second"))
     p.wait(0.2)
     assert not called and not first.running and not second.running
+
+
+def test_connections_give_way_in_the_order_of_what_they_lose() -> None:
+    standings = [
+        (Standing(Stand.BUSY, 0.0), "busy"), (Standing(Stand.HALF, 1.0), "half"),
+        (Standing(Stand.HALF, 9.5), "writing"), (Standing(Stand.SILENT, 9.0), "silent"),
+        (Standing(Stand.SILENT, 9.9), "new"), (Standing(Stand.ANSWERED, 9.6), "younger"),
+        (Standing(Stand.ANSWERED, 9.5), "answered"), (Standing(Stand.ANSWERED, 9.97), "just now"),
+    ]  # fmt: skip
+    assert give_way(standings, 10.0, 9) == ["answered", "younger", "silent", "half"]
+    assert give_way(standings, 10.0, 1) == ["answered"] and give_way([], 10.0, 9) == []
--- a/yewhook/front.py
+++ b/yewhook/front.py
@@ -59,7 +59,7 @@
         raise NotImplementedError
 
     def make_room(self) -> None:
-        """Close idle connections, those that have been so for longest first."""
+        """Close connections that are needed least: here, those that have been idle for longest."""
         idle = sorted(self._idle(IDLE_LEAST), key=lambda connection: connection.idle_since)
         for connection in idle[:ROOM_STEP]:
             connection.hang_up()
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -16,7 +16,8 @@
 from ..config import Names
 from ..core.ending import Ending
 from ..core.router import Router
-from ..front import ClientConnections
+from ..crowding import Stand, Standing, give_way
+from ..front import ROOM_STEP, ClientConnections
 from ..loop import Loop, Timer
 from ..operations.instance import Posture
 from . import http
@@ -122,7 +123,8 @@
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._head_size = self._unended = 0  # of what is parsed; of what is read and may not be
         self._in_head = self._opened = self._last = self._slow = False
-        self.idle_since = front.loop.now
+        self.idle_since = self._heard_at = front.loop.now
+        self._asked = False  # whether an answer has been given on it
         self._taken_at = 0.0  # when a slow client last took something
         self._unsent = 0
         self.channel = Channel(front.loop, sock, self)
@@ -133,9 +135,24 @@
     def idle(self) -> bool:
         return self.call is None and self.serving is None and not self.waiting
 
+    @property
+    def standing(self) -> Standing:
+        if self.serving is not None or self.waiting:
+            return Standing(Stand.BUSY, self._heard_at)
+        if self.call is not None:
+            return Standing(Stand.HALF, self._heard_at)
+        return Standing(Stand.ANSWERED if self._asked else Stand.SILENT, self.idle_since)
+
+    def give_way(self) -> None:
+        """Close at once, unless a request has just come; waiting for the client to close keeps the place."""
+        if not self.channel.stale:
+            self._gone()
+            self.channel.abort()
+
     # ---- reading ----
 
     def received(self, data: bytes) -> None:
+        self._heard_at = self.front.loop.now
         if self._last or self._parser is None:
             return  # whatever follows a request that ended the connection is not taken
         try:
@@ -341,7 +358,7 @@
     def _served(self) -> None:
         if self.serving is not None:
             self.front.held -= len(self.serving.body)
-        self.request_id, self.serving = "", None
+        self.request_id, self.serving, self._asked = "", None, True
         self.idle_since = self.front.loop.now
         if self.waiting:
             self.front.loop.after(0.0, self._next)
@@ -382,6 +399,11 @@
     def accepted(self, sock: socket.socket) -> None:
         self.connections.add(ClientConnection(self, sock))
 
+    def make_room(self) -> None:
+        standings = ((connection.standing, connection) for connection in self.connections)
+        for connection in give_way(standings, self.loop.now, ROOM_STEP):
+            connection.give_way()
+
     def take(self, posture: Posture) -> None:
         self._drained_at = self.loop.now if posture.accepting and posture.closing else math.inf
         super().take(posture)
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -25,6 +25,7 @@
 THIN_OUT = 0.1  # s between looks at the streams that still run, a part of which is moved at each
 LAST_MOMENT = 0.4  # s before that at which all that is still open is ended in good order
 ABLE_EVERY, ABLE_MOST = 0.02, 1.0  # s between looks for a first list; s after which it serves without one
+BACKLOG = 4096  # connections that may wait; one that finds no place comes again after 1 s at the soonest
 ACCEPT_AT_ONCE, ACCEPT_AGAIN = 64, 0.05  # connections a turn; s until a full process tries again
 
 
@@ -45,7 +46,7 @@
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind(address)
-    listener.listen(512)
+    listener.listen(BACKLOG)
     listener.setblocking(False)
     return listener
 
@@ -92,9 +93,10 @@
     def _accept(self, mask: int) -> None:
         for _ in range(ACCEPT_AT_ONCE):
             if not self._room():
-                self._loop.log("too many sockets", f"{self._loop.sockets} open, accepting later")
                 self._make_room()
-                return self._later()
+                if not self._room():
+                    self._loop.log("too many sockets", f"{self._loop.sockets} open, accepting later")
+                    return self._later()
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
