Serve on for a while after SIGTERM where few other routers are

The second router is told to end 3 s after the first, and the first is back 5 s after its own order (stopped 3.5 s after it, started 0.8 s later by the bench, ready 0.7 s after that, whenever it ends by itself); so from 3.3 to 5 s no router says yes, and all streams of the one are moved to the other, whose readers then refuse ('no reader in time' at once, trace of seed 11).

Change: state lasting: with streams that can go on elsewhere a router takes what comes for 1.5 s / (other routers) after SIGTERM, and moves its streams from 0.5 s after that on, over what is left of the grace. With 200 routers that is nothing.

--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -14,6 +14,7 @@
     """Stands in for a front that is busy for as long as the test says."""
 
     grace = 3.0
+    lasts = 0.0
 
     def __init__(self) -> None:
         self.busy = True
--- a/yewhook/agent.py
+++ b/yewhook/agent.py
@@ -385,7 +385,7 @@
     def __init__(
         self, loop: Loop, fleet: FleetFile, stop: Callable[[], None], read_again: Callable[[], FleetFile]
     ) -> None:
-        self.loop, self.fleet, self.grace = loop, fleet, fleet.grace
+        self.loop, self.fleet, self.grace, self.lasts = loop, fleet, fleet.grace, 0.0
         self._read_again = read_again
         self._stop = stop
         self._peers = peers = AgentPeers(loop, self)
--- a/yewhook/front.py
+++ b/yewhook/front.py
@@ -26,6 +26,10 @@
     from .levels.ladder import Change
 
 GRACE_MOST = 3.0  # s; the platform grants the longest patience of a class, and no more than this
+# s after the order to end in which a router still takes what comes, where streams can go on elsewhere: the
+# fewer others there are, the likelier that just now none of them serves. What is left of the grace is enough
+# for an answer to begin and for its stream to be moved.
+LAST_TAKEN = 1.5
 ROOM_STEP = 32  # idle connections closed at a time when sockets run out
 IDLE_LEAST = 2.0  # s that a connection is left open on which nothing is asked, however short room is
 CLOSING_EVERY, CLOSING_IDLE = 0.1, 0.1  # s between looks while idle connections are closed; s of idleness
@@ -144,6 +148,7 @@
     ) -> None:
         self.loop, self._settings = loop, settings
         self.grace = min(GRACE_MOST, max(c.patience for c in settings.classes))
+        self.lasts = LAST_TAKEN / max(1, settings.instances - 1) if settings.may_resume else 0.0
         self.registry = Registry(names, time.monotonic() - time.time(), loop.log)
         self.releases = Releases(loop, ask, latest, self.registry.running)
         self._governor: Governor | None = None
--- a/yewhook/operations/instance.py
+++ b/yewhook/operations/instance.py
@@ -19,7 +19,8 @@
     DRAINING = "draining"  # told to drain; the front may not have heard the no yet
     DRAINED = "drained"  # what still comes is served, one request a connection
     HANDING_OVER = "handing over"  # a successor accepts; what was taken here ends here
-    ENDING = "ending"  # told to end; the front may not have heard the no yet
+    LASTING = "lasting"  # told to end; serves on for as long as what it takes can still be answered
+    ENDING = "ending"  # it has said no; the front may not have heard that yet
     LEAVING = "leaving"  # nothing is accepted any more
 
 
@@ -53,6 +54,7 @@
     State.DRAINING: Posture(healthy=False, accepting=True, keeping=False, closing=False),
     State.DRAINED: Posture(healthy=False, accepting=True, keeping=False, closing=True),
     State.HANDING_OVER: Posture(healthy=True, accepting=False, keeping=False, closing=True),
+    State.LASTING: Posture(healthy=True, accepting=True, keeping=True, closing=False),
     State.ENDING: Posture(healthy=False, accepting=True, keeping=False, closing=False),
     State.LEAVING: Posture(healthy=False, accepting=False, keeping=False, closing=True, leaving=True),
 }
@@ -66,7 +68,7 @@
         Event.SUCCESSOR_READY: State.HANDING_OVER, Event.TERM: State.LEAVING,
     },
     State.READY: {
-        Event.DRAIN: State.DRAINING, Event.SUCCESSOR_READY: State.HANDING_OVER, Event.TERM: State.ENDING,
+        Event.DRAIN: State.DRAINING, Event.SUCCESSOR_READY: State.HANDING_OVER, Event.TERM: State.LASTING,
     },
     State.DRAINING: {
         Event.RESUME: State.READY, Event.SETTLED: State.DRAINED,
@@ -76,13 +78,15 @@
         Event.RESUME: State.READY, Event.SUCCESSOR_READY: State.HANDING_OVER, Event.TERM: State.ENDING,
     },
     State.HANDING_OVER: {Event.SUCCESSOR_LOST: State.READY, Event.TERM: State.LEAVING},
+    State.LASTING: {Event.SETTLED: State.ENDING, Event.SUCCESSOR_READY: State.LEAVING},
     State.ENDING: {Event.SETTLED: State.LEAVING, Event.SUCCESSOR_READY: State.LEAVING},
     State.LEAVING: {},
 }  # fmt: skip
 
 TABLE = {(state, event): moves.get(event, state) for state, moves in _MOVES.items() for event in Event}
 ORDERED = {Event.DRAIN: True, Event.RESUME: False}
-DEAF = frozenset({State.HANDING_OVER, State.ENDING, State.LEAVING})  # orders come too late: another serves
+# Orders come too late: another process serves, or is to.
+DEAF = frozenset({State.HANDING_OVER, State.LASTING, State.ENDING, State.LEAVING})
 
 
 @dataclass(frozen=True, slots=True)
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -132,6 +132,7 @@
 
 class Front(Protocol):
     grace: float  # s that what it has taken may need to end
+    lasts: float  # s for which it may still take what comes, once it is told to end
 
     @property
     def able(self) -> bool:
@@ -232,12 +233,14 @@
         for front in self.fronts:
             front.take(self.instance.posture)
         self._settled.cancel()
-        if after in (State.DRAINING, State.ENDING):
-            self._settled.set(KEEP_ACCEPTING, lambda: self.hear(Event.SETTLED))
+        lasts = min((front.lasts for front in self.fronts), default=0.0) if after is State.LASTING else 0.0
+        if after in (State.DRAINING, State.ENDING, State.LASTING):
+            wait = lasts if after is State.LASTING else KEEP_ACCEPTING
+            self._settled.set(wait, lambda: self.hear(Event.SETTLED))
         if event is Event.TERM:
             grace = max((front.grace for front in self.fronts), default=0.0)
             self._end_at = self.loop.now + grace + KILLED_AFTER - LAST_MOMENT
-            self.loop.after(2 * KEEP_ACCEPTING, self._thin_out)
+            self.loop.after(max(2 * KEEP_ACCEPTING, lasts + KEEP_ACCEPTING), self._thin_out)
         if after is State.LEAVING:
             self._finish()
 
