--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -51,16 +51,19 @@
 class Running:
     """An agent whose loop is turned by the test's own thread or, for the blocking calls, beside it."""
 
-    def __init__(self, folder: Path) -> None:
-        self.log = KeptLog()
+    def __init__(self, folder: Path, count: int = 2) -> None:
+        self.log, self.count = KeptLog(), count
         self.service = Service(self.log)
-        self.fleet = read(write_fleet(folder))
+        self.fleet = read(self.write(folder))
         path = folder / "fleet.toml"
         self.agent = Agent(self.service.loop, self.fleet, self.sigterm, lambda: read(path))
         self.service.fronts.append(self.agent)
         self.service.begin()
         self.place = ("127.0.0.1", self.agent.port)
 
+    def write(self, folder: Path) -> Path:
+        return write_fleet(folder, self.count)
+
     def sigterm(self) -> None:
         self.service.hear(Event.TERM)
 
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,146 @@
+"""Operators' orders through the agent: drains that outlive a process, and processes that are replaced."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from settings import ENV
+from test_agent import Running, free_port, published
+from typer.testing import CliRunner
+
+from yewhook.cli import app
+from yewhook.operations.orders import Order, Orders, Refused
+
+
+class OneRouter(Running):
+    """An agent with one router of the platform's front."""
+
+    def __init__(self, folder: Path) -> None:
+        entry = {
+            "instanceId": "s-1", "hostPort": "127.0.0.1:9", "zone": "hall-a", "cell": 1,
+            "machineType": "prefill", "lifecycle": "up", "weight": 1.0, "startedAtMs": 0,
+        }  # fmt: skip
+        self.port = free_port()
+        self.config = folder / "n1.json"
+        known = {"generation": 1, "reset": True, "instances": [entry]}
+        raw = {"name": "n1", "listen": f"127.0.0.1:{self.port}", "discovery": "127.0.0.1:1", "seed": "1"}
+        self.config.write_text(json.dumps(raw | {"settings": ENV, "known": known}))
+        super().__init__(folder)
+        self.one = self.agent.instances["n1"]
+        self.at = f"{self.place[0]}:{self.place[1]}"
+
+    def write(self, folder: Path) -> Path:
+        path = folder / "fleet.toml"
+        path.write_text(
+            '[agent]\nlisten = "127.0.0.1:0"\nrecords = "routers.zone"\ndomain = "r.test."\n'
+            'service = "_yewhook._tcp"\n[[instance]]\nname = "n1"\nconfig = "n1.json"\n'
+        )
+        return path
+
+    def command(self, *words: str) -> Any:
+        return self.beside(lambda: CliRunner().invoke(app, [*words, "--agent", self.at]))
+
+    def health(self) -> int:
+        def ask() -> int:
+            connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=5)
+            connection.request("GET", "/healthz", headers={"Connection": "close"})
+            return connection.getresponse().status
+
+        return int(self.beside(ask))
+
+
+@pytest.fixture
+def router(tmp_path: Path) -> Iterator[OneRouter]:
+    run = OneRouter(tmp_path)
+    yield run
+    run.agent.break_off()
+    run.agent.close()
+
+
+def test_a_drain_holds_over_a_crash_until_the_resume(router: OneRouter) -> None:
+    router.until(lambda: router.states() == ["ready"])
+    done = router.command("drain", "n1", "--by", "the night shift")
+    assert done.exit_code == 0 and "drained" in done.output
+    assert router.health() == 503 and published(router) == []
+    pid = router.one.report()["pid"]
+    os.kill(pid, signal.SIGKILL)
+    router.until(lambda: router.one.restarts == 1 and router.states() == ["drained"])
+    assert router.health() == 503 and router.one.report()["pid"] != pid
+    shown = json.loads(router.command("status", "--json").output)[0]
+    assert shown["orders"][0]["order"] == "drain" and shown["orders"][0]["by"] == "the night shift"
+    assert router.command("resume", "n1").exit_code == 0
+    router.until(lambda: router.states() == ["ready"])
+    assert router.health() == 200 and published(router) == ["n1-platform"]
+
+
+def test_an_upgrade_replaces_the_process_and_keeps_the_address(router: OneRouter) -> None:
+    router.until(lambda: router.states() == ["ready"])
+    pid = router.one.report()["pid"]
+    done = router.command("upgrade", "n1")
+    assert done.exit_code == 0 and str(router.one.report()["pid"]) in done.output
+    assert router.one.report()["pid"] != pid and router.health() == 200
+    router.until(lambda: not router.one._leaving)
+    assert router.one.restarts == 0 and any("upgraded" in line for line in router.log.lines)
+
+
+def test_an_upgrade_that_fails_leaves_the_old_process_serving(router: OneRouter) -> None:
+    router.until(lambda: router.states() == ["ready"])
+    pid = router.one.report()["pid"]
+    router.config.write_text("{")
+    done = router.command("upgrade", "n1")
+    assert done.exit_code == 1 and "the old one serves on" in done.output
+    assert router.one.report()["pid"] == pid and router.health() == 200
+    assert router.one.orders == Orders()
+
+
+def test_the_old_process_may_be_killed_while_it_is_replaced(router: OneRouter) -> None:
+    router.until(lambda: router.states() == ["ready"])
+    pid = router.one.report()["pid"]
+    ended: list[str] = []
+    router.one.order(Order.UPGRADE, "a test", ended.append)
+    os.kill(pid, signal.SIGKILL)
+    router.until(lambda: bool(ended) and router.states() == ["ready"])
+    assert ended == [""] and router.one.report()["pid"] != pid and router.health() == 200
+
+
+def test_a_second_order_is_refused_with_who_and_since_when(router: OneRouter) -> None:
+    router.until(lambda: router.states() == ["ready"])
+    router.one.order(Order.UPGRADE, "the day shift", lambda why_not: None)
+    for words in (("drain", "n1"), ("upgrade", "n1"), ("stop", "n1")):
+        done = router.command(*words)
+        if router.one.orders.upgrade is None:
+            break  # it was quicker than the question
+        assert done.exit_code == 1 and "an upgrade by the day shift is under way" in done.output
+    router.until(lambda: router.one.orders.upgrade is None)
+
+
+def test_orders_that_can_not_be_carried_out_are_refused(running_toolcalls: Running) -> None:
+    run = running_toolcalls
+    run.until(lambda: run.states() == ["ready"])
+    with pytest.raises(Refused, match="tool-calls front"):
+        run.agent.instances["n0"].order(Order.UPGRADE, "x", lambda why_not: None)
+
+
+@pytest.fixture
+def running_toolcalls(tmp_path: Path) -> Iterator[Running]:
+    run = Running(tmp_path, count=1)
+    yield run
+    run.agent.break_off()
+    run.agent.close()
+
+
+def test_orders_hold_until_they_are_taken_back() -> None:
+    orders = Orders().take(Order.DRAIN, "a", 1.0)
+    assert orders.take(Order.DRAIN, "b", 2.0) == orders and orders.drain is not None
+    upgrading = orders.take(Order.UPGRADE, "c", 3.0)
+    for order in Order:
+        with pytest.raises(Refused, match="by c is under way, since 4 s"):
+            upgrading.take(order, "d", 7.0)
+    assert upgrading.over() == orders and orders.take(Order.RESUME, "e", 9.0) == Orders()
--- a/yewhook/agent.py
+++ b/yewhook/agent.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum
@@ -25,6 +26,7 @@
 from .jsonrpc import Code, Handler, Id, Peer, RpcError, encode
 from .loop import Loop
 from .operations.instance import Posture
+from .operations.orders import Order, Orders, Refused
 from .operators import read as read_settings
 from .service import Acceptor, listen
 from .toolcalls.config import read as read_toolcalls
@@ -35,6 +37,8 @@
 BACKOFF, BACKOFF_MOST = 0.2, 10.0  # s until a restart, doubling
 STEADY = 10.0  # s of good service after which the next restart is quick again
 ASK_PATIENCE = 1.0  # s that a router may take to answer on its line to the agent
+YES_WITHIN, OLD_ENDS_WITHIN = 10.0, 3.7  # s for a successor to serve; s for the old process to end after that
+ORDERS = {f"agent/{order.value}": order for order in Order}
 KEYS = {
     "agent": {"listen", "records", "domain", "service", "grace_s"},
     "instance": {"name", "config", "toolcalls", "settings"},
@@ -46,10 +50,14 @@
     READY = "ready"
     UNRESPONSIVE = "unresponsive"  # its process runs and answers no more
     WAITING = "waiting"  # its process has ended; the next one is due after a while
+    DRAINED = "drained"  # an operator's order; it finishes what it has, and stays warm
     STOPPING = "stopping"  # told to finish what it has taken
     STOPPED = "stopped"
 
 
+PROBED = frozenset({State.STARTING, State.READY, State.DRAINED, State.UNRESPONSIVE})
+
+
 @dataclass(frozen=True, slots=True)
 class Spec:
     """One instance of the fleet file."""
@@ -60,9 +68,16 @@
     settings: Path | None  # the operators' file, if it goes by one
     fronts: Mapping[str, Address]
 
-    def command(self, control: int) -> list[str]:
+    @property
+    def upgradable(self) -> bool:
+        """Whether the agent holds all that it listens on."""
+        return set(self.fronts) == {"platform"}
+
+    def command(self, control: int, drained: bool) -> list[str]:
         """What starts it; `control` is the descriptor of its line to the agent."""
         command = [sys.executable, "-m", "yewhook", "serve", "--control-fd", str(control)]
+        if drained:
+            command.append("--drained")
         if self.settings is not None:
             command += ["--service", str(self.settings)]
         if self.config is None:
@@ -129,8 +144,13 @@
     }
     ANSWERS: Mapping[str, bytes] = {"platform": b"HTTP/1.1 200", "toolcalls": b'"result"'}
 
-    def __init__(self, loop: Loop, front: str, place: Address, answered: Callable[[bool], None]) -> None:
+    DRAINED: Mapping[str, bytes] = {"platform": b"HTTP/1.1 503", "toolcalls": b'"result"'}
+
+    def __init__(
+        self, loop: Loop, front: str, place: Address, drained: bool, answered: Callable[[bool], None]
+    ) -> None:
         self._front, self._answered, self._heard = front, answered, b""
+        self._wanted = (self.DRAINED if drained else self.ANSWERS)[front]
         self._over = False
         try:
             self._channel = Channel.connect(loop, place, self)
@@ -147,7 +167,7 @@
 
     def received(self, data: bytes) -> None:
         self._heard += data
-        if self.ANSWERS[self._front] in self._heard:
+        if self._wanted in self._heard:
             self._end(True)
 
     def lost(self, error: OSError | None) -> None:
@@ -220,8 +240,13 @@
 class Instance:
     """One router's process and what is known of it."""
 
-    def __init__(self, loop: Loop, spec: Spec, changed: Callable[[], None]) -> None:
-        self.spec, self.state = spec, State.STOPPED
+    def __init__(self, loop: Loop, spec: Spec, changed: Callable[[], None], folder: Path) -> None:
+        """`folder` = where its processes meet."""
+        self.spec, self.state, self._folder = spec, State.STOPPED, folder
+        self.orders = Orders()
+        self._next: Successor | None = None
+        self._leaving: list[tuple[subprocess.Popen[bytes], float]] = []  # with when each is killed
+        self._held: socket.socket | None = None  # the clients' listening socket
         self.restarts = 0
         self._loop, self._changed = loop, changed
         self._process: subprocess.Popen[bytes] | None = None
@@ -236,7 +261,7 @@
 
     @property
     def running(self) -> bool:
-        return self._process is not None
+        return self._process is not None or bool(self._leaving)
 
     def _to(self, state: State) -> None:
         if state is not self.state:
@@ -244,28 +269,115 @@
             self._changed()
 
     def start(self) -> None:
-        if self.running:
+        if self._process is not None:
             self._again = self.state is State.STOPPING
             return
-        line = self.line = Line(self._loop)
         try:
-            self._process = subprocess.Popen(
-                self.spec.command(line.descriptor),
-                env=self.spec.environ(),
-                stdin=subprocess.DEVNULL,
-                cwd=Path.cwd(),
-                pass_fds=(line.descriptor,),
-            )
+            self._process, self.line = self._spawn()
         except OSError as error:
             self._loop.log("instance not started", f"{self.spec.name}: {error}")
-            self._hang_up()
             return self._wait()
-        finally:
-            line.inherited()
         self._lost, self._probing, self._probe_at = 0, {}, self._loop.now
         self._loop.log("instance started", f"{self.spec.name} pid {self._process.pid}")
         return self._to(State.STARTING)
 
+    def _spawn(self) -> tuple[subprocess.Popen[bytes], Line]:
+        """A further process of it, and the line to that. Raises OSError."""
+        line, environ = Line(self._loop), self.spec.environ()
+        inherits = [line.descriptor]
+        try:
+            if self.spec.upgradable:
+                held = self._hold()
+                inherits.append(held.fileno())
+                environ |= {"PROXY_ACCEPT_FD": str(held.fileno()), "TMPDIR": str(self._folder)}
+            process = subprocess.Popen(
+                self.spec.command(line.descriptor, self.orders.drain is not None),
+                env=environ,
+                stdin=subprocess.DEVNULL,
+                cwd=Path.cwd(),
+                pass_fds=inherits,
+            )
+        except OSError:
+            line.close()
+            raise
+        finally:
+            line.inherited()
+        return process, line
+
+    def _hold(self) -> socket.socket:
+        """The socket on which clients come, for all its processes one after the other."""
+        if self._held is None or self._held.getsockname() != self.spec.fronts["platform"]:
+            self._let_go()
+            self._held = listen(self.spec.fronts["platform"])
+        return self._held
+
+    def _let_go(self) -> None:
+        if self._held is not None:
+            self._held.close()
+            self._held = None
+
+    # ---- orders ----
+
+    def order(self, order: Order, by: str, done: Callable[[str], None]) -> None:
+        """Carry out an operator's order; `done` hears of its end, with why it failed. Raises Refused."""
+        if order is Order.UPGRADE and not self.spec.upgradable:
+            raise Refused(f"{self.spec.name} has a tool-calls front, which can't be handed on: restart it")
+        if order is Order.UPGRADE and self.state not in (State.READY, State.DRAINED):
+            raise Refused(f"{self.spec.name} is {self.state.value}: only one that serves can be replaced")
+        self.orders = self.orders.take(order, by, self._loop.now)
+        if order is Order.UPGRADE:
+            return self._upgrade(done)
+        self._loop.log("order", f"{self.spec.name}: {order.value} by {by}")
+        if order is Order.DRAIN and self.state in (State.READY, State.UNRESPONSIVE):
+            self._to(State.DRAINED)
+        elif order is Order.RESUME and self.state is State.DRAINED:
+            self._to(State.STARTING)  # until it answers
+        self._probe_at = self._loop.now
+        if self.line is None:  # it is told when it starts
+            return done("")
+        heard = partial(self._heard, done)
+        return self.line.tell(f"router/{order.value}", {}, heard)
+
+    @staticmethod
+    def _heard(done: Callable[[str], None], well: bool) -> None:
+        done("" if well else "it did not answer")
+
+    def _upgrade(self, done: Callable[[str], None]) -> None:
+        try:
+            process, line = self._spawn()
+        except OSError as error:
+            self.orders = self.orders.over()
+            return done(str(error))
+        self._loop.log("upgrade begun", f"{self.spec.name} pid {process.pid} beside {self.report()['pid']}")
+        self._next = Successor(process, line, self._loop.now + YES_WITHIN, done)
+        return None
+
+    def _look_next(self, successor: Successor) -> None:
+        code, status = successor.process.poll(), successor.line.status
+        if code is None and status.get("serves") and self._process is not None:
+            self._process.terminate()
+            self._leaving.append((self._process, self._loop.now + OLD_ENDS_WITHIN))
+            self._hang_up()
+            self._process, self.line = successor.process, successor.line
+            return self._upgraded(successor, "")
+        if code is not None:
+            return self._upgraded(successor, f"the new process ended with {code}; the old one serves on")
+        if self._loop.now >= successor.until:
+            successor.process.kill()
+            successor.process.wait()
+            return self._upgraded(successor, f"no yes within {YES_WITHIN:.0f} s; the old one serves on")
+        return successor.line.look()
+
+    def _upgraded(self, successor: Successor, why_not: str) -> None:
+        self._next, self.orders = None, self.orders.over()
+        if why_not:
+            successor.line.close()
+            self._loop.log("upgrade failed", f"{self.spec.name}: {why_not}")
+        else:
+            self._loop.log("upgraded", f"{self.spec.name} pid {successor.process.pid}")
+        self._probe_at = self._loop.now
+        successor.done(why_not)
+
     def _hang_up(self) -> None:
         if self.line is not None:
             self.line.close()
@@ -300,17 +412,33 @@
             self._process.kill()
 
     def reap(self) -> None:
+        last = [self._next.process] if self._next is not None else []
+        for process in last:
+            process.kill()
+        for process in [*last, *(old for old, _ in self._leaving)]:
+            process.wait()
         if self._process is not None:
             self._process.wait()
             self._process = None
         self._hang_up()
+        self._let_go()
 
     def look(self) -> None:
         """See whether its process has ended or is to be started, and whether it answers."""
         now = self._loop.now
+        for process, until in self._leaving:
+            if process.poll() is None and now >= until:
+                process.kill()
+        self._leaving = [(process, until) for process, until in self._leaving if process.poll() is None]
+        if self._next is not None:
+            self._look_next(self._next)
         if self._process is not None and (code := self._process.poll()) is not None:
             self._process = None
             self._hang_up()
+            if self._next is not None:  # it takes over at once, and is as good as a restart
+                self._process, self.line = self._next.process, self._next.line
+                self._upgraded(self._next, "")
+                return self._to(State.STARTING)
             if self.state is State.STOPPING:
                 self._to(State.STOPPED)
                 return self.start() if self._again else None
@@ -319,7 +447,7 @@
             self._wait()
         elif self.state is State.WAITING and now >= self._due:
             self.start()
-        elif self.state in (State.STARTING, State.READY, State.UNRESPONSIVE) and now >= self._probe_at:
+        elif self.state in PROBED and now >= self._probe_at:
             self._probe_at = now + PROBE_EVERY + PROBE_PATIENCE
             self._probe()
         if self.state is State.READY and now - self._since > STEADY:
@@ -337,19 +465,20 @@
                 self._probed(all(results.values()))
 
         for front, place in self.spec.fronts.items():
-            Probe(self._loop, front, place, lambda well, front=front: answered(front, well))  # type: ignore[misc]
+            drained = self.orders.drain is not None
+            Probe(self._loop, front, place, drained, lambda well, front=front: answered(front, well))  # type: ignore[misc]
 
     def _probed(self, well: bool) -> None:
         self._probe_at = self._loop.now + PROBE_EVERY
         self._lost = 0 if well else self._lost + 1
         if well:
-            self._to(State.READY)
+            self._to(State.READY if self.orders.drain is None else State.DRAINED)
             if self.line is not None:
                 self.line.look()
             if self._tell and self._process is not None:
                 self._tell = False
                 self._process.send_signal(signal.SIGHUP)
-        elif self.state is State.READY and self._lost >= PROBES_LOST:
+        elif self.state in (State.READY, State.DRAINED) and self._lost >= PROBES_LOST:
             self._loop.log("instance unresponsive", self.spec.name)
             self._to(State.UNRESPONSIVE)
 
@@ -361,10 +490,29 @@
             "restarts": self.restarts,
             "since_s": round(self._loop.now - self._since, 1),
             "listen": {front: f"{host}:{port}" for front, (host, port) in self.spec.fronts.items()},
+            "orders": self._report_orders(),
             "levels": self.line.status.get("levels") if self.line is not None else None,
         }
 
 
+    def _report_orders(self) -> list[dict[str, Any]]:
+        given = filter(None, (self.orders.drain, self.orders.upgrade))
+        return [
+            {"order": one.order.value, "by": one.by, "since_s": round(self._loop.now - one.at, 1)}
+            for one in given
+        ]
+
+
+@dataclass(frozen=True, slots=True)
+class Successor:
+    """A process that is to take an instance over."""
+
+    process: subprocess.Popen[bytes]
+    line: Line
+    until: float  # it is given up then
+    done: Callable[[str], None]
+
+
 class AgentPeers(ClientConnections[Peer]):
     """The connections of those who ask."""
 
@@ -389,7 +537,8 @@
         self._read_again = read_again
         self._stop = stop
         self._peers = peers = AgentPeers(loop, self)
-        self.instances = {spec.name: Instance(loop, spec, self._publish) for spec in fleet.instances}
+        self._folder = tempfile.TemporaryDirectory(prefix="yewhook-agent-")
+        self.instances = {spec.name: self._instance(spec) for spec in fleet.instances}
         listener = listen(fleet.listen)
         self.port: int = listener.getsockname()[1]
         self._acceptor = Acceptor(loop, listener, peers.room, peers.make_room, peers.accepted)
@@ -397,6 +546,9 @@
             instance.start()
         self._look()
 
+    def _instance(self, spec: Spec) -> Instance:
+        return Instance(self.loop, spec, self._publish, Path(self._folder.name))
+
     def _look(self) -> None:
         for instance in self.instances.values():
             instance.look()
@@ -437,13 +589,27 @@
             "agent/stop": Instance.stop,
             "agent/restart": lambda instance: instance.stop(again=True),
         }
-        if method not in actions:
+        if method not in actions and method not in ORDERS:
             raise RpcError(Code.METHOD_NOT_FOUND, f"unknown method {method!r}")
         instance = self.instances.get(str(params.get("name")))
         if instance is None:
             raise RpcError(Code.INVALID_PARAMS, f"no instance named {params.get('name')!r}")
-        actions[method](instance)
-        return peer.result(request_id, instance.report())
+        if method in actions:
+            if (upgrade := instance.orders.upgrade) is not None:
+                raise RpcError(Code.INVALID_REQUEST, f"an upgrade by {upgrade.by} is under way")
+            actions[method](instance)
+            return peer.result(request_id, instance.report())
+
+        def done(why_not: str) -> None:
+            if why_not:
+                peer.error(request_id, RpcError(Code.INTERNAL_ERROR, f"{instance.spec.name}: {why_not}"))
+            else:
+                peer.result(request_id, instance.report())
+
+        try:
+            return instance.order(ORDERS[method], str(params.get("by") or "nobody named"), done)
+        except Refused as error:
+            raise RpcError(Code.INVALID_REQUEST, str(error)) from None
 
     def _tell_levels(self, peer: Peer, request_id: Id, method: str, params: dict[str, Any]) -> None:
         """Tell one router or all; the answer names those that were told and those that could not be."""
@@ -495,7 +661,7 @@
                 if name in self.instances:
                     self.instances[name].reload(spec)
                 else:
-                    self.instances[name] = Instance(self.loop, spec, self._publish)
+                    self.instances[name] = self._instance(spec)
                     self.instances[name].start()
             self._publish()
             return f"{len(wanted)} instances"
@@ -532,6 +698,7 @@
         for instance in self.instances.values():
             instance.reap()
         self._publish()
+        self._folder.cleanup()
 
 
 def _services(specs: Iterable[Spec]) -> Iterable[ServiceInstance]:
--- a/yewhook/cli.py
+++ b/yewhook/cli.py
@@ -25,6 +25,7 @@
 from .platform.front import PlatformFront
 from .service import Room, Service
 
+UPGRADE_PATIENCE = 20.0  # s; the agent gives up before
 app = typer.Typer(no_args_is_help=True, add_completion=False, help="A router for model servers.")
 
 
@@ -38,6 +39,7 @@
     toolcalls: Annotated[Path | None, typer.Option(help="Serve tool calls too, as this file says.")] = None,
     settings: Annotated[Path | None, typer.Option("--service", help="The operators' file.")] = None,
     control_fd: Annotated[int | None, typer.Option(hidden=True, help="The agent's line to it.")] = None,
+    drained: Annotated[bool, typer.Option(help="Start drained, until told to resume.")] = False,
 ) -> None:
     """Run one router until SIGTERM."""
     name = os.environ.get("PROXY_NAME", "router")
@@ -62,11 +64,13 @@
     if not fronts:
         raise complaint("nothing to serve: --no-platform and no --toolcalls")
     service.fronts += fronts
+    if drained:
+        service.hear(Event.DRAIN)
     service.files.append(oversight.reload)
     if control_fd is not None:
         from .control import Control
 
-        Control(service.loop, control_fd, oversight)
+        Control(service, control_fd, oversight)
     service.run()
 
 
@@ -203,6 +207,32 @@
     typer.echo(f"{name} {ask_agent(at, 'agent/restart', name=name)['state']}")
 
 
+By = Annotated[str, typer.Option("--by", help="Who orders it, for those who find it under way.")]
+
+
+@app.command()
+def drain(name: str, at: At = AGENT, by: By = "") -> None:
+    """Let a router finish what it has, and take nothing new; it stays so over restarts, until `resume`."""
+    typer.echo(f"{name} {ask_agent(at, 'agent/drain', name=name, by=by or _user())['state']}")
+
+
+@app.command()
+def resume(name: str, at: At = AGENT, by: By = "") -> None:
+    """Let a drained router serve again."""
+    typer.echo(f"{name} {ask_agent(at, 'agent/resume', name=name, by=by or _user())['state']}")
+
+
+@app.command()
+def upgrade(name: str, at: At = AGENT, by: By = "") -> None:
+    """Start a new process of a router beside the old one, and end that once the new one serves."""
+    done = ask_agent(at, "agent/upgrade", timeout=UPGRADE_PATIENCE, name=name, by=by or _user())
+    typer.echo(f"{name} {done['state']}, pid {done['pid']}")
+
+
+def _user() -> str:
+    return os.environ.get("USER") or f"user {os.getuid()}"
+
+
 @app.command()
 def shutdown(at: At = AGENT) -> None:
     """Let all routers finish, and end the agent."""
--- a/yewhook/commands/common.py
+++ b/yewhook/commands/common.py
@@ -29,12 +29,12 @@
     return read(path)
 
 
-def ask_agent(at: str, method: str, **params: Any) -> Any:
+def ask_agent(at: str, method: str, timeout: float = 5.0, **params: Any) -> Any:
     """Its answer; whatever goes wrong ends the command with one plain line."""
     from ..agent import ask
 
     try:
-        return ask(address(at, "--agent"), method, params)
+        return ask(address(at, "--agent"), method, params, timeout)
     except ConfigError as error:
         raise complaint(error) from None
     except RpcError as error:
--- a/yewhook/commands/levels.py
+++ b/yewhook/commands/levels.py
@@ -106,7 +106,7 @@
     _told(ask_agent(at, "levels/unpin", **_one(router)))
 
 
-def _one(router: str | None) -> dict[str, str]:
+def _one(router: str | None) -> dict[str, Any]:
     return {} if router is None else {"name": router}
 
 
--- a/yewhook/control.py
+++ b/yewhook/control.py
@@ -8,17 +8,19 @@
 
 from .jsonrpc import Code, Id, Peer, RpcError
 from .levels.level import Level
-from .loop import Loop
+from .operations.instance import Event
 from .oversight import Oversight
+from .service import Service
 
+ORDERS = {"router/drain": Event.DRAIN, "router/resume": Event.RESUME}
 PIN_MOST = 7 * 86400.0  # s for which a level may be pinned
 
 
 class Control:
     """The router's end. Without an agent there is none."""
 
-    def __init__(self, loop: Loop, descriptor: int, oversight: Oversight) -> None:
-        self._oversight = oversight
+    def __init__(self, service: Service, descriptor: int, oversight: Oversight) -> None:
+        self._oversight, self._service, loop = oversight, service, service.loop
         self._peer = Peer.accepted(loop, socket.socket(fileno=descriptor), self)
 
     def request(self, peer: Peer, request_id: Id, method: str, params: dict[str, Any]) -> None:
@@ -26,9 +28,15 @@
             self._oversight.pin(*pin_of(params))
         elif method == "levels/unpin":
             self._oversight.unpin()
+        elif method in ORDERS:
+            if not self._service.instance.obeys(ORDERS[method]):
+                raise RpcError(Code.INVALID_REQUEST, f"{self._service.instance.state.value}: too late")
+            self._service.hear(ORDERS[method])
         elif method != "router/status":
             raise RpcError(Code.METHOD_NOT_FOUND, f"unknown method {method!r}")
-        peer.result(request_id, self._oversight.report())
+        instance = self._service.instance
+        told = {"state": instance.state.value, "serves": instance.serves}
+        peer.result(request_id, self._oversight.report() | told)
 
     def notification(self, peer: Peer, method: str, params: dict[str, Any]) -> None:
         """The agent announces nothing."""
