--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run; PYTHON names the interpreter of the environment to use.
 PYTHON ?= .venv/bin/python
 
-.PHONY: build test lint run
+.PHONY: build test lint run demo
 
 build: .venv
 
@@ -19,3 +19,7 @@
 
 run:
 	$(PYTHON) -m yewhook serve
+
+# A small fleet on free loopback ports, with a drain and an upgrade on the way: 30 s, nothing to set up.
+demo:
+	$(PYTHON) -m yewhook demo
--- a/tests/processes/test_operate.py
+++ b/tests/processes/test_operate.py
@@ -14,3 +14,9 @@
     figures = json.loads(done.stdout.splitlines()[-1])
     assert done.exit_code == 0, (figures, done.stderr)
     assert figures["processes"] >= 4 and figures["upgrades_kept_old"] > 0
+
+
+def test_the_demo_answers_every_request_once() -> None:
+    done = CliRunner().invoke(app, ["demo", "--seconds", "8"])
+    assert done.exit_code == 0, done.output
+    assert "n1 drained" in done.output and "0 without an answer, 0 rules broken" in done.output
--- a/yewhook/cli.py
+++ b/yewhook/cli.py
@@ -207,6 +207,16 @@
     typer.echo(f"{name} {ask_agent(at, 'agent/restart', name=name)['state']}")
 
 
+@app.command()
+def demo(
+    seconds: Annotated[float, typer.Option(min=8.0, max=600.0, help="How long clients come.")] = 30.0,
+) -> None:
+    """Run a small fleet on loopback and show a drain, its end and an upgrade; exit 1 if a request is lost."""
+    from yewlab.processes.demo import show
+
+    raise typer.Exit(0 if show(seconds, typer.echo) else 1)
+
+
 By = Annotated[str, typer.Option("--by", help="Who orders it, for those who find it under way.")]
 
 
--- a/yewlab/processes/host.py
+++ b/yewlab/processes/host.py
@@ -115,6 +115,10 @@
 
         ask()
 
+    def let_go(self) -> None:
+        """Leave the address to somebody else."""
+        self._listener.close()
+
     def close(self) -> None:
         """End whatever still runs, by its id."""
         for process in self.processes:
