Weigh sends to cold servers in the lab by their class's mean, at the site's reading rates

Cause, by a probe of each break: the stand-in (RouterWorkers._cold_work) weighed a send by its own work, 0.39 to 1.45 s of a mixed server's time, where the rule counts the mean of its class; and its engines read half as fast as the site's.

--- a/yewlab/fleet.py
+++ b/yewlab/fleet.py
@@ -23,6 +23,7 @@
 class Asked(Protocol):
     """What a client asks, as far as servers care."""
 
+    cls: int
     session: str
     prefix: str | None
     prefix_tokens: float
@@ -49,6 +50,7 @@
     number: int
     box: Box
     job: Job
+    cls: int
     reads: bool
     arrived: bool = False
     over: bool = False
@@ -62,6 +64,7 @@
         self.register_delay = 1.0  # s
         self._routers: dict[int, tuple[float, Listed]] = {}  # s by which each hears later, and how
         self._numbers = 0
+        self._work: dict[tuple[int, Role], tuple[float, int]] = {}  # by class: s of warm servers' time, sends
         self._look()
 
     def add(self, engine: Engine, cell: int = 0, cold: bool = False, zone: int = 0) -> int:
@@ -104,6 +107,13 @@
         self.rules.told(router, info.id, info.state is ServerState.RUNNING, self.sim.now)
         self.rules.started(router, info.id, info.started)
 
+    def mean_work(self, cls: int, role: Role, work: float) -> float:
+        """What a send counts for at a cold server: the mean work of its class there, as the bench's rule says
+        (BENCH, 'This kind of system'); this one's is booked first."""
+        whole, count = self._work.get((cls, role), (0.0, 0))
+        self._work[cls, role] = whole + work, count + 1
+        return (whole + work) / (count + 1)
+
     # ---- what a script does ----
 
     def slow(self, number: int, speed: float) -> None:
@@ -178,7 +188,7 @@
             self._done(out, what)
 
         job = Job(request_id, ask.session, ask.prefix, ask.prefix_tokens, ask.prompt, ask.answer, done)
-        out: Out = Out(self, attempt, box, job, reads)
+        out: Out = Out(self, attempt, box, job, ask.cls, reads)
         self._out[request_id, attempt] = out
         self.fleet.rules.sent(self.router, request_id, server, reads, self.fleet.sim.now)
         self.fleet.sim.after(WIRE, lambda: self._arrive(out))
@@ -191,8 +201,9 @@
             return self.tell(out, Ending.CONNECT_REFUSED)
         out.arrived = True
         request = out.job.request_id
+        work = fleet.mean_work(out.cls, box.server.engine.role, self._work(out))
         if box.server.cold_time and fleet.sim.now - box.server.started < box.server.cold_time:
-            work, can = self._cold_work(out), box.server.capacity
+            can = box.server.capacity
             fleet.rules.cold(self.router, box.info.id, box.server.started, work, can, fleet.sim.now)
         if box.server.engine.role is Role.WRITER and request not in fleet.states:
             return self.tell(out, Ending.STATE_GONE)
@@ -204,7 +215,7 @@
         return None
 
     @staticmethod
-    def _cold_work(out: Out) -> float:
+    def _work(out: Out) -> float:
         """s of the server's whole time that an attempt takes when the server is warm."""
         engine, job = out.box.server.engine, out.job
         read = 0.0 if engine.role is Role.WRITER else job.prompt / engine.read_rate
--- a/yewlab/mass.py
+++ b/yewlab/mass.py
@@ -29,6 +29,13 @@
 LASTS, AFTER = 26.0, 16.0  # s in which turns come, and then for what is left to end
 ZONES, CELL = 3, 6
 KINDS = (Role.READER, Role.WRITER, Role.READER, Role.WRITER, Role.MIXED)  # of each five workers
+# Tokens a second, as on the operators' site (the middles of their ranges); read at half of that, one whole turn
+# was more than a cold server may get in a second, whoever sent it.
+READS = {Role.READER: 18_000.0, Role.MIXED: 11_500.0}
+ENGINES = {
+    role: replace(engine, read_rate=READS.get(role, engine.read_rate))
+    for role, engine in site.ENGINES.items()
+}
 LAG = (0.2, 1.2)  # s by which a router hears later of the fleet than the first
 HEARS = (0.0016, 0.027)  # s for a message from router to router
 QUOTA = 1e6  # turns a second: nobody is beyond a share
@@ -105,7 +112,7 @@
         self.rules = Rules(settings)
         self.fleet = Fleet(self.sim, settings, self.rules)
         for n, role in zip(range(self.workers), cycle(KINDS), strict=False):
-            self.fleet.add(site.ENGINES[role], cell=n // CELL, zone=n // CELL % ZONES)
+            self.fleet.add(ENGINES[role], cell=n // CELL, zone=n // CELL % ZONES)
         self.hosted = [self._host(number) for number in range(self.routers)]
         start = self.sim.now + BEGIN
         self.clients = Clients(
