--- a/yewlab/mass.py
+++ b/yewlab/mass.py
@@ -29,8 +29,8 @@
 LASTS, AFTER = 26.0, 16.0  # s in which turns come, and then for what is left to end
 ZONES, CELL = 3, 6
 KINDS = (Role.READER, Role.WRITER, Role.READER, Role.WRITER, Role.MIXED)  # of each five workers
-# Tokens a second, as on the operators' site (the middles of their ranges); read at half of that, one whole turn
-# was more than a cold server may get in a second, whoever sent it.
+# Tokens a second, as on the operators' site (the middles of their ranges); read at half of that, one whole
+# turn was more than a cold server may get in a second, whoever sent it.
 READS = {Role.READER: 18_000.0, Role.MIXED: 11_500.0}
 ENGINES = {
     role: replace(engine, read_rate=READS.get(role, engine.read_rate))
