--- a/yewlab/processes/stage.py
+++ b/yewlab/processes/stage.py
@@ -4,6 +4,7 @@
 
 import json
 import time
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -23,6 +24,7 @@
 
 KINDS = {Role.READER: "prefill", Role.WRITER: "decode", Role.MIXED: "mixed"}
 FLEET = (Role.READER, Role.READER, Role.READER, Role.WRITER, Role.WRITER, Role.WRITER, Role.MIXED)
+ANSWER = (30.0, 120.0)  # tokens, some 1 to 3 s: short enough that what was taken ends within a test's time
 QUOTA = 1e6  # turns a second: nobody is beyond a share
 OFFSET = time.time() - time.monotonic()  # Unix time less the loop's
 
@@ -37,7 +39,8 @@
         env["instances"], env["caps"]["may-tell"] = instances, True
         env["customers"] = [one | {"quota-per-s": QUOTA} for one in env["customers"]]
         settings, names = translate(env)
-        lanes = dict(zip(names.classes, site.TRAFFIC, strict=True))
+        traffic = (replace(one, answer=ANSWER) for one in site.TRAFFIC)
+        lanes = dict(zip(names.classes, traffic, strict=True))
         self.rules = Rules(settings)
         self.workers = Workers(self.loop, self.rules, lanes)
         self.register = Register(self.loop, self._told)
