--- a/yewlab/processes/net.py
+++ b/yewlab/processes/net.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import selectors
 import socket
 import struct
@@ -17,7 +18,10 @@
 from yewhook.loop import Loop
 from yewhook.platform import http
 
-HOST = "127.0.0.1"
+# A loopback address of this process's own: ports that are free now stay so until a router takes them, though
+# several stages may run beside each other.
+_PID = os.getpid()
+HOST = f"127.{64 + (_PID >> 16) % 64}.{(_PID >> 8) % 256}.{_PID % 256}"
 
 
 class RealTime:
