--- a/yewlab/processes/clients.py
+++ b/yewlab/processes/clients.py
@@ -46,7 +46,6 @@
     lost_with_process: int = 0  # their process was killed outright
     unread: int = 0  # on new connections that were refused, reset or ended with no answer
     untried: int = 0  # no instance was open to new connections
-    twice: int = 0
 
     @property
     def answered_once(self) -> int:
