Let go of a stopped router's listening socket, so that its clients are refused

Seen on re-reading: the agent holds the clients' socket for all of an instance's processes (Instance._hold) and let it go only at its own end, so after 'yewhook stop' connects came up and waited unread. Ruled out: the router's own listener, which it closes as it leaves. Instance._stopped now lets go where no start follows; a stop of an instance without a process took the same two steps in another place and goes the same way. The new test fails without it (connect succeeds).

--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -64,6 +65,18 @@
     run.agent.close()
 
 
+def test_clients_of_a_stopped_router_are_refused_and_not_left_waiting(router: OneRouter) -> None:
+    # The agent held the socket on: connections came up and stayed unread for as long as it ran.
+    router.until(lambda: router.states() == ["ready"])
+    assert router.command("stop", "n1").exit_code == 0
+    router.until(lambda: router.states() == ["stopped"])
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(("127.0.0.1", router.port))
+    assert router.command("start", "n1").exit_code == 0
+    router.until(lambda: router.states() == ["ready"])
+    assert router.health() == 200
+
+
 def test_a_drain_holds_over_a_crash_until_the_resume(router: OneRouter) -> None:
     router.until(lambda: router.states() == ["ready"])
     done = router.command("drain", "n1", "--by", "the night shift")
--- a/yewhook/agent.py
+++ b/yewhook/agent.py
@@ -392,13 +392,19 @@
         """Tell it to finish what it has taken; start it anew after that if so wanted."""
         self._again = again
         if self._process is None:
-            self._to(State.STOPPED)
-            return self.start() if again else None
+            return self._stopped()
         if self.state is not State.STOPPING:
             self._process.terminate()
             self._to(State.STOPPING)
         return None
 
+    def _stopped(self) -> None:
+        self._to(State.STOPPED)
+        if self._again:
+            return self.start()
+        # Held on, the socket would let clients connect and wait, and nobody comes to serve them.
+        return self._let_go()
+
     def reload(self, spec: Spec) -> None:
         """Go on as a new fleet file says: what it runs may have changed, or the files that this names."""
         changed, self.spec = spec != self.spec, spec
@@ -440,8 +446,7 @@
                 self._upgraded(self._next, "")
                 return self._to(State.STARTING)
             if self.state is State.STOPPING:
-                self._to(State.STOPPED)
-                return self.start() if self._again else None
+                return self._stopped()
             self._loop.log("instance exited", f"{self.spec.name} with {code}; again in {self._backoff:.1f} s")
             self.restarts += 1
             self._wait()
