Let the module know what warm servers took before all were lost, and what it knew itself

Need, for the recovery from a power loss. Seen in the lab of real processes: in the 12 s after a loss of all, 700 turns were refused with 'no reader in time' and next to nothing was served. Cause: a cold server's budget goes by what its warm peers get (Controller._cold_room); where none is warm it falls to 0.3 sends a second for the whole fleet, so each router waits some 50 s for its next send. Ruled out: pace and levels, which a trace showed open. An event WarmRates tells the rates of before; without it nothing changes. know() and remind() part what a hand-over halves from what is only told.

--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -17,9 +17,9 @@
 from .hearsay import Hearsay
 from .interface import (
     Action, AttemptEnded, CancelAttempt, ClientGone, Effect, Event, Fail, Group, ListKind, Load, Log,
-    MoveStream, Outcome, PeerSaid, Probe, ProbeEnded, Refuse, ReleaseState, RequestArrived, Role, RoleSight,
-    Send, ServersListed, ServerState, ServiceLevel, SetTimer, Settings, StreamStarted, Subscribe, Tell,
-    TimerFired,
+    MoveStream, Outcome, PeerSaid, Probe, ProbeEnded, Refuse, ReleaseState, RequestArrived, Role, Send,
+    ServersListed, ServerState, ServiceLevel, SetTimer, Settings, StreamStarted, Subscribe, Tell, TimerFired,
+    WarmRates,
 )
 from .quota import Quotas
 from .rendezvous import Rendezvous, rank
@@ -85,6 +85,7 @@
         self.balances: dict[tuple[str, int], float] = {}
         self.running, self.streams = dict.fromkeys(Role, 0), dict.fromkeys(Role, 0)  # servers; our streams
         self.service = ServiceLevel()
+        self.took: dict[Role, float] = {}  # what a warm server took from us a second before a loss of all
         self.reading = {role: Estimate() for role in Role}  # servers' time that reads of ours take, s a s
         self.seen: dict[str, Estimate] = {}  # how often a shared beginning came, fading
         self.pace = dict.fromkeys(Role, 0.0)  # s a token read; 0 until measured: no refusal on a guess
@@ -103,6 +104,7 @@
             RequestArrived: self._arrived, AttemptEnded: self._ended, StreamStarted: self._started,
             ClientGone: self._gone, ProbeEnded: self._probed, ServersListed: self._listed,
             TimerFired: self._tick, ServiceLevel: self._level, PeerSaid: self._told_of,
+            WarmRates: self._took,
         }
 
     def handle(self, now: float, events: list[Event]) -> list[Action]:
@@ -132,20 +134,8 @@
     def _level(self, ev: ServiceLevel, now: float) -> None:
         self.service = ev
 
-    def sight(self, now: float) -> dict[Role, RoleSight]:
-        """What the levels of service judge by: each role's servers, and how much of them is in use."""
-        return {role: self._sight(role, now) for role in Role}
-
-    def _sight(self, role: Role, now: float) -> RoleSight:
-        pool = self._pool(role, now)
-        usable = sum(self._able(w, now) for w in pool)
-        if role is Role.READER:
-            read = self.reading[role].faded(now, WORK_MEMORY) * self.s.instances
-            busy = read / max(usable, self.s.cold_from)
-        else:
-            out = sum(w.streams for w in pool)
-            busy = out / (out + self._all_room(pool, now)) if out else 0.0
-        return RoleSight(self.running[role], usable, busy)
+    def _took(self, ev: WarmRates, now: float) -> None:
+        self.took.update(ev.rates)
 
     def _listed(self, ev: ServersListed, now: float) -> None:
         if ev.kind is ListKind.FAILED:  # ask again, later each time; the old list stays good meanwhile
@@ -162,11 +152,11 @@
                     continue
                 listed = now if ev.kind is ListKind.CHANGES else -math.inf
                 w = self.workers[info.id] = Worker(info, self.s.roles[info.kind], now, listed)
-                w.cold_level = self.random.random() + self._able(w, now)
+                w.cold_level = self.random.random() + self.able(w, now)
             elif info.started != w.info.started and info.started is not None:  # a new process
                 w.forget(now)
                 w.info, w.listed = info, now
-                w.cold_level = self.random.random() + self._able(w, now)
+                w.cold_level = self.random.random() + self.able(w, now)
                 self.kept = {key: use for key, use in self.kept.items() if key[0] != info.id}
             w.info = info
             w.gone_at = now if info.state is ServerState.GONE else math.inf
@@ -405,7 +395,7 @@
     def _peers(self, w: Worker) -> list[Worker]:
         return [p for p in self.workers.values() if p.role is w.role and p.info.state is ServerState.RUNNING]
 
-    def _pool(self, role: Role, now: float, req: Request | None = None) -> list[Worker]:
+    def pool(self, role: Role, now: float, req: Request | None = None) -> list[Worker]:
         tried = [a.server for a in req.attempts] if req else []
         pool = [w for w in self.workers.values() if w.role is role and w not in tried]
         pool = [w for w in pool if self._usable(w, now, req)]
@@ -425,7 +415,7 @@
     def _age(self, w: Worker, now: float) -> float:
         return now - (w.info.started if w.info.started is not None else w.listed)
 
-    def _able(self, w: Worker, now: float) -> float:
+    def able(self, w: Worker, now: float) -> float:
         """The least part of its capacity that a server has by now; it grows evenly until it is warm."""
         warm = min(1.0, self._age(w, now) / (self.s.cold_time or 1.0))
         return self.s.cold_from + (1 - self.s.cold_from) * warm
@@ -441,6 +431,7 @@
         large a part of them at once as it has of its capacity: it is warm before each has had its turn."""
         peers = [p.work.faded(now, WORK_MEMORY) for p in self._peers(w) if not self._cold(p, now)]
         warm = sum(peers) / len(peers) if peers else COLD_FLOOR / self.s.instances
+        warm = max(warm, self.took.get(w.role, 0.0))  # where all are cold, no peer tells
         rate = COLD_SAFETY * self.s.fall_multiple * self.s.cold_from * warm
         most = max(rate * self.s.fall_window / 2, COLD_LEAST)
         w.cold_level, w.cold_at = min(w.cold_level + rate * (now - w.cold_at), most), now
@@ -483,14 +474,14 @@
 
     def _free(self, mixed: bool, now: float) -> float:
         """Smoothed room over the writers (or the mixed servers), less what we have on its way there."""
-        if not (pool := self._pool(Role.MIXED if mixed else Role.WRITER, now)):
+        if not (pool := self.pool(Role.MIXED if mixed else Role.WRITER, now)):
             return 0.0
-        raw = self._all_room(pool, now)
+        raw = self.all_room(pool, now)
         old, part = self.room[mixed], 1 - math.exp(-(now - self.room_at) / SMOOTHING)
         self.room[mixed] = smooth = raw if old is None else old + part * (raw - old)
         return min(smooth, raw) if raw < 1 else smooth
 
-    def _all_room(self, pool: list[Worker], now: float) -> float:
+    def all_room(self, pool: list[Worker], now: float) -> float:
         """Room at servers together. Where none is heard yet the limit from told memory stands in, so that
         there is always a gate."""
         rooms = [self._room(w, now) for w in pool]
@@ -574,7 +565,7 @@
         """The session's last reader, else the hashed home, else the next in hash order; one over LOAD_BOUND
         times the median of our reads is passed over. Departure: so is one whose read takes over COMFORT of
         the time left, for the quickest of its homes and SPARE_HOMES more; elsewhere it would be read anew."""
-        pool = self._pool(Role.MIXED if mixed else Role.READER, now, req)
+        pool = self.pool(Role.MIXED if mixed else Role.READER, now, req)
         if mixed:  # a beginning's home must not fill past its own room: its answers would crawl (i63487d)
             pool = self._roomy(pool, now) or pool
         if not pool:
@@ -605,7 +596,7 @@
         """Two random writers for a state at home. Departure: from its cell, then zone, as links are slow and
         paid for; but only as large a part as the place has of all writers, the rest by chance where there are
         more. Guards against full near writers when few waits are seen; from the list alone, so it adds up."""
-        pool = self._pool(Role.WRITER, now, req) or self._pool(Role.MIXED, now, req)
+        pool = self.pool(Role.WRITER, now, req) or self.pool(Role.MIXED, now, req)
         pool = self._roomy(pool, now) or pool
         if home is not None:
             cell, zone = self._balance(home.info.cell, "cell"), self._balance(home.info.zone, "zone")
--- a/hopshed/handover.py
+++ b/hopshed/handover.py
@@ -13,6 +13,7 @@
 from .state import Estimate, Session
 
 SESSIONS_MOST, KEPT_MOST = 20_000, 20_000  # the latest; each is some 60 bytes
+REMINDED = ("wait", "wait_at", "floor", "limit", "hit", "drag")  # of a server, after this one's own restart
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,10 +55,15 @@
 
 
 def take(c: Controller) -> Knowledge:
-    """What a controller knows; half of each cold server's budget goes with it."""
+    """What a controller knows, for one beside it; half of each cold server's budget goes with it."""
     for worker in c.workers.values():
         if worker.cold_level > 0:
             worker.cold_level /= 2
+    return know(c)
+
+
+def know(c: Controller) -> Knowledge:
+    """What a controller knows; it goes on with all of it."""
     names = [field.name for field in fields(Learnt)]
     return Knowledge(
         servers={n: Learnt(*(getattr(w, name) for name in names)) for n, w in c.workers.items()},
@@ -97,3 +103,29 @@
     for bucket, told in zip(c.quotas.buckets, known.quotas, strict=False):
         bucket.level, bucket.at = told
     c.hearsay.resume(known.words)
+
+
+def remind(c: Controller, known: Knowledge) -> None:
+    """Let a controller that serves already know what an earlier one knew; what it has learnt itself stands.
+
+    Of servers only those count that it has not met yet."""
+    for number, learnt in known.servers.items():
+        worker = c.workers.get(number)
+        if worker is not None and not worker.work.value:
+            for name in REMINDED:
+                setattr(worker, name, getattr(learnt, name))
+    c.sessions = dict(known.sessions) | c.sessions
+    c.kept = {(number, key): used for number, key, used in known.kept} | c.kept
+    c.seen = dict(known.seen) | c.seen
+    c.pace = {role: pace or known.pace.get(role, 0.0) for role, pace in c.pace.items()}
+    c.paced = c.paced or known.paced
+    if len(known.by_class) == len(c.stream_time):
+        times, tokens = zip(*known.by_class, strict=True)
+        c.stream_time = [mine or theirs for mine, theirs in zip(c.stream_time, times, strict=True)]
+        c.class_tokens = [mine or theirs for mine, theirs in zip(c.class_tokens, tokens, strict=True)]
+    prompt, fresh, context, _ = known.means
+    c.mean_prompt, c.mean_fresh = c.mean_prompt or prompt, c.mean_fresh or fresh
+    c.context = c.context or context
+    for bucket, told in zip(c.quotas.buckets, known.quotas, strict=False):
+        if bucket.at == 0.0:  # untouched
+            bucket.level, bucket.at = told
--- a/hopshed/interface.py
+++ b/hopshed/interface.py
@@ -241,9 +241,16 @@
     certain: bool = False  # a turn that finds no room at once is refused at once
 
 
+class WarmRates(NamedTuple):
+    """What a warm server of each role took from this router before all were lost, in sends of mean work a
+    second; while none is warm, no other one tells."""
+
+    rates: tuple[tuple[Role, float], ...]
+
+
 Event = (
     ServersListed | RequestArrived | StreamStarted | AttemptEnded | ClientGone | ProbeEnded | TimerFired
-    | ServiceLevel | PeerSaid
+    | ServiceLevel | PeerSaid | WarmRates
 )  # fmt: skip
 
 
--- /dev/null
+++ b/hopshed/sights.py
@@ -0,0 +1,23 @@
+"""What the levels of service and the recovery judge by: a controller's belief about each role's servers."""
+
+from __future__ import annotations
+
+from .control import WORK_MEMORY, Controller
+from .interface import Role, RoleSight
+
+
+def sight(c: Controller, now: float) -> dict[Role, RoleSight]:
+    """Each role's servers, and how much of them is in use."""
+    return {role: _role(c, role, now) for role in Role}
+
+
+def _role(c: Controller, role: Role, now: float) -> RoleSight:
+    pool = c.pool(role, now)
+    usable = sum(c.able(w, now) for w in pool)
+    if role is Role.READER:
+        read = c.reading[role].faded(now, WORK_MEMORY) * c.s.instances
+        busy = read / max(usable, c.s.cold_from)
+    else:
+        out = sum(w.streams for w in pool)
+        busy = out / (out + c.all_room(pool, now)) if out else 0.0
+    return RoleSight(c.running[role], usable, busy)
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -13,7 +13,8 @@
 
 from hopshed import Controller
 from hopshed import interface as i
-from hopshed.handover import Knowledge, give, take
+from hopshed.handover import Knowledge, give, know, remind, take
+from hopshed.sights import sight
 
 from ..deadlines import Deadline, Deadlines
 from ..log import Log
@@ -131,6 +132,14 @@
         """What the module has learnt, for a successor."""
         return take(self._module)
 
+    def known(self) -> Knowledge:
+        """What the module has learnt, for a process that comes after this one's end."""
+        return know(self._module)
+
+    def remind(self, known: Knowledge) -> None:
+        """Let the module know what an earlier process learnt."""
+        remind(self._module, known)
+
     def resume(self, told_off: dict[int, float], known: Knowledge) -> None:
         """Go on from a predecessor's knowledge, once the list has been heard. Raises ValueError."""
         self._told_off.update((n, at) for n, at in told_off.items() if n in self._told_off)
@@ -208,8 +217,8 @@
                     life.stage = Stage.DECIDING if life.stage is Stage.ACCEPTED else life.stage
             try:
                 if self.governor is not None:
-                    heard = events
-                    events = self._governed(lambda g: g.before(now, heard, self._module.sight), heard)
+                    heard, sees = events, partial(sight, self._module)
+                    events = self._governed(lambda g: g.before(now, heard, sees), heard)
                 actions = self._module.handle(now, events)
                 if self.governor is not None:
                     self._governed(lambda g: g.after(now, actions), None)
