--- /dev/null
+++ b/yewlab/power.py
@@ -0,0 +1,227 @@
+"""A power loss of the whole fleet on virtual time: routers, workers and register at once, under load.
+
+Halls come back 2 to 20 s apart and cold, a part of the workers never, the register after the first hall;
+every client asks again within the same seconds. Played with the recovery and without it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from functools import partial
+from random import Random
+from typing import Any
+
+from hopshed import interface as i
+from hopshed.interface import ListKind, Role
+from yewhook.recovery.recovery import Usual, usual
+from yewhook.recovery.settings import RecoverySettings
+from yewhook.recovery.words import Speaker, unpack
+from yewhook.recovery.words import pack as pack_word
+
+from .host import Hosted
+from .levels import ON, processes
+from .mass import BEGIN, TROUBLE, TURNS, ZONES, Mass
+from .workload import Tally
+
+DARK = (4.0, 8.0)  # s without power
+HALLS = (2.0, 20.0)  # s from the first hall's return to the last one's
+NEVER = 0.33  # part of the workers that does not return
+REGISTER = (1.0, 6.0)  # s after the first hall until the register answers
+NOTICED = 5.0  # s after its return until it takes out what is gone
+SURGE, SURGE_FOR = 6.0, 10.0  # times the usual turns, which are half of what a warm fleet can do; s of it
+SEEN_AFTER = 20.0  # s after all is back that still count
+HALF, FULL = 0.5, 0.9  # of what is asked for, in a window of
+WINDOW = 3.0  # s
+LOST_WORDS, WORD_TAKES = 0.3, (0.002, 0.4)  # part of the words; s, so that they come in any order
+
+
+@dataclass(frozen=True, slots=True)
+class Script:
+    """When what comes back, in s after the loss."""
+
+    halls: tuple[float, ...]  # by zone
+    register: float
+
+    @property
+    def first(self) -> float:
+        return min(self.halls)
+
+    @property
+    def all(self) -> float:
+        return max(*self.halls, self.register)
+
+
+def draw(random: Random) -> Script:
+    first = random.uniform(*DARK)
+    later = [0.0, *(random.uniform(*HALLS) for _ in range(ZONES - 1))]
+    random.shuffle(later)
+    return Script(tuple(first + one for one in later), first + random.uniform(*REGISTER))
+
+
+@dataclass(slots=True)
+class Power(Mass):
+    """A fleet that loses its power; a router's zone is its number's."""
+
+    lost_at: float = field(init=False)
+    script: Script = field(init=False)
+    words: int = 0
+    known: tuple[i.Server, ...] = ()  # what routers' configurations say, from before the loss
+    register_back: bool = True
+    speakers: dict[int, Speaker] = field(default_factory=dict)
+    learnt: dict[int, Usual] = field(default_factory=dict)  # in routers' snapshots
+
+    def __post_init__(self) -> None:
+        self.script = draw(Random(f"power {self.seed}"))
+        self.lost_at = self.sim.now + TROUBLE
+        Mass.__post_init__(self)
+        self._plan()
+
+    @property
+    def lasts(self) -> float:
+        return TROUBLE + self.script.all + SEEN_AFTER - BEGIN
+
+    def rate(self, now: float) -> float:
+        """Turns a second: none while it is dark, then everybody's at once."""
+        back = self.lost_at + self.script.first
+        if self.lost_at <= now < back:
+            return 0.0
+        usual = self.turns * self.workers
+        return usual * SURGE if back <= now < back + SURGE_FOR else usual
+
+    def phase(self, now: float) -> str:
+        return f"{now - self.lost_at - self.script.first:.0f}"
+
+    def _plan(self) -> None:
+        sim, fleet = self.sim, self.fleet
+        sim.at(self.lost_at, self._dark)
+        for number in range(self.routers):
+            at = self.lost_at + self.script.halls[number % ZONES] + self.random.uniform(0.3, 1.0)
+            sim.at(at, partial(self._start, number))
+        never = set(self.some(NEVER))
+        for number, box in fleet.boxes.items():
+            at = self.lost_at + self.script.halls[box.info.zone] + self.random.uniform(0.5, 2.0)
+            if number not in never:
+                sim.at(at, partial(fleet.back, number))
+        sim.at(self.lost_at + self.script.register, self._register)
+        for number in sorted(never):
+            sim.at(self.lost_at + self.script.all + NOTICED, partial(fleet.stop, number))
+
+    def _dark(self) -> None:
+        """Everything goes at once."""
+        for number in list(self.fleet.boxes):
+            self.fleet.cut_power(number)
+        for number, one in enumerate(self.hosted):
+            self.learnt[number] = self._usual(one)
+            self.kill(number, None)
+        self.known = tuple(box.info for box in self.fleet.boxes.values())
+        self.register_back = False
+
+    def _usual(self, one: Hosted) -> Usual:
+        """What its snapshot says of before."""
+        assert one.governor is not None
+        infos = [box.info for box in self.fleet.boxes.values()]
+        of = {role: [s.id for s in infos if self.rules.settings.roles[s.kind] is role] for role in Role}
+        return usual(one.governor.usual(self.sim.now), of, one.router.known().work, self.sim.now)
+
+    def _start(self, number: int) -> None:
+        one = self._host(number, joins=self.register_back)
+        self.hosted[number] = one
+        self.dead.discard(number)
+        if not self.register_back:
+            one.router.listed(ListKind.SAVED, self.known)
+        self._speak(number, one)
+
+    def _register(self) -> None:
+        self.register_back = True
+        for number, one in enumerate(self.hosted):
+            if number not in self.dead:
+                self.join(number, one)
+
+    # ---- words ----
+
+    def _speak(self, number: int, one: Hosted) -> None:
+        """A router's words from its start on, as long as it lives."""
+        governor = one.governor
+        if governor is None or governor.recovery is None:
+            return
+        governor.recovery.expect(self.learnt[number])
+        recovery, random = governor.recovery, Random(f"words {self.seed} {number} {self.sim.now}")
+        speaker = Speaker(self.routers, random, self.sim.now)
+        self.speakers[number] = speaker
+
+        def look() -> None:
+            if self.hosted[number] is not one or number in self.dead:
+                return
+            asks = speaker.due(self.sim.now, recovery.active)
+            if asks is not None:
+                self._say(number, pack_word(recovery.word(asks, self.sim.now)), random)
+            self.sim.after(0.1, look)
+
+        self.sim.after(0.1, look)
+
+    def _say(self, sender: int, data: bytes, random: Random) -> None:
+        self.words += 1
+        for number in range(self.routers):
+            if number != sender and random.random() >= LOST_WORDS:
+                self.sim.after(random.uniform(*WORD_TAKES), partial(self._hear_word, number, sender, data))
+
+    def _hear_word(self, number: int, sender: int, data: bytes) -> None:
+        governor = self.hosted[number].governor
+        if number in self.dead or governor is None or governor.recovery is None:
+            return
+        word = unpack(data)
+        governor.recovery.heard(sender, word, self.sim.now)
+        if word.asks and number in self.speakers:
+            self.speakers[number].asked(self.sim.now)
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What came of one run, from the moment the first hall is back."""
+
+    figures: dict[str, Any]
+    broken: tuple[str, ...]
+    faults: tuple[str, ...]
+    said: tuple[str, ...]
+
+
+def _reached(tallies: dict[int, Tally], part: float, last: int) -> float | None:
+    """s until that part of the worth asked for in a window is served, and stays so for a further one."""
+    def share(second: int) -> float:
+        window = Tally.of_classes(2)
+        for one in range(second, second + round(WINDOW)):
+            if one in tallies:
+                window.add(tallies[one])
+        return window.worth
+
+    found = (s for s in range(last) if share(s) >= part and share(s + round(WINDOW)) >= part)
+    return next((float(s) for s in found), None)
+
+
+def play(seed: int, routers: int, workers: int, turns: float = TURNS, with_it: bool = True) -> Outcome:
+    recovery = RecoverySettings() if with_it else None
+    power = Power(seed, routers, workers, turns, levels=ON, recovery=recovery)
+    power.sim.run(power.lost_at + power.script.all + SEEN_AFTER + 16.0)
+    seconds = {int(name): tally for name, tally in power.clients.tallies.items()}
+    after = Tally.of(power.rules.settings)
+    for second, tally in seconds.items():
+        if second >= 0:
+            after.add(tally)
+    top = max(range(len(power.rules.settings.classes)), key=lambda n: power.rules.settings.classes[n].worth)
+    last = round(power.script.all - power.script.first + SEEN_AFTER)
+    figures = {
+        "turns": after.turns, "worth": round(after.worth, 4), "top_class": round(after.served(top), 4),
+        "other_class": round(min(after.served(n) for n in range(2) if n != top), 4),
+        "refused": after.refused, "half_s": _reached(seconds, HALF, last),
+        "full_s": _reached(seconds, FULL, last), "broken": len(power.rules.broken), "words": power.words,
+        "cold_pushed_over": sum("pushed over" in what for what in power.rules.broken),
+    }  # fmt: skip
+    faults = tuple(fault for log in power.logs for fault in log.faults)
+    return Outcome(figures, tuple(power.rules.broken), faults, tuple(power.logs[-1].said))
+
+
+def compare(seed: int, routers: int, workers: int, turns: float = TURNS) -> tuple[Outcome, Outcome]:
+    """With the recovery and without it."""
+    with processes() as pool:
+        runs = [pool.submit(play, seed, routers, workers, turns, way) for way in (True, False)]
+        return runs[0].result(), runs[1].result()
--- a/yewlab/processes/register.py
+++ b/yewlab/processes/register.py
@@ -40,6 +40,12 @@
         if self.entries[name]["lifecycle"] == "removed":
             del self.entries[name]
 
+    def begin_anew(self, generation: int, entries: dict[str, dict[str, Any]]) -> None:
+        """It comes back with this list and numbers on from there; who watches is told the whole of it."""
+        self.generation, self.entries, self.changed = generation, entries, []
+        for face in self.faces:
+            face.lose_watches()
+
     def close(self) -> None:
         for face in self.faces:
             face.close()
@@ -108,7 +114,11 @@
                 side.event(b"\n")
         self.register.loop.after(BEAT, self._beat)
 
-    def close(self) -> None:
-        self._listener.close()
+    def lose_watches(self) -> None:
         for side in list(self._watches):
             side.channel.abort()
+        self._watches.clear()
+
+    def close(self) -> None:
+        self._listener.close()
+        self.lose_watches()
--- a/yewlab/processes/workers.py
+++ b/yewlab/processes/workers.py
@@ -10,6 +10,7 @@
 from hopshed.interface import Role
 from yewhook.loop import Loop
 from yewhook.registry import server_id
+from yewlab.costs import Costs, whole_work
 from yewlab.engines import Engine, Job, Server
 from yewlab.rules import Rules
 from yewlab.workload import Traffic
@@ -44,6 +45,7 @@
         self.time = RealTime(loop)
         self.boxes: dict[str, Worker] = {}
         self.states: dict[str, Worker] = {}  # request -> the reader where its read state waits
+        self.costs = Costs()
         self._look()
 
     def add(self, name: str, engine: Engine, instances: int) -> Worker:
@@ -53,6 +55,8 @@
     def _look(self) -> None:
         for request in self.states:
             self.rules.held(request, self.loop.now)
+        for worker in self.boxes.values():
+            worker.warm_up()
         self.rules.sweep(self.loop.now)
         self.loop.after(0.25, self._look)
 
@@ -67,6 +71,7 @@
     def __init__(self, fleet: Workers, name: str, engine: Engine, instances: int) -> None:
         self.fleet, self.name, self.number = fleet, name, server_id(name)
         self.server = Server(fleet.time, engine)
+        self.asked = 0  # attempts that have come
         self._turns: dict[ServerSide, Turn] = {}
         self._listeners = [self._listen(instance) for instance in range(instances)]
 
@@ -89,6 +94,8 @@
         turn.job = self._job(turn, request)
         rules, now = self.fleet.rules, self.fleet.loop.now
         rules.sent(instance, turn.request_id, self.number, turn.reads, now)
+        self.asked += 1
+        self._weigh(instance, request.headers["x-lane"], turn.job)
         if self.server.engine.role is Role.WRITER and turn.request_id not in self.fleet.states:
             rules.ended(turn.request_id, True, now)
             return side.answer(410, headers={"X-Turned-Away": "1"})
@@ -98,6 +105,15 @@
         self._turns[side] = turn
         return None
 
+    def _weigh(self, instance: int, lane: str, job: Job) -> None:
+        """By the rule on cold workers."""
+        fleet, server = self.fleet, self.server
+        cls = list(fleet.traffic).index(lane)
+        work, mean = fleet.costs.mean(cls, server.engine.role, whole_work(server.engine, job))
+        if server.cold_time and fleet.loop.now - server.started < server.cold_time:
+            can = server.capacity
+            fleet.rules.cold(instance, self.number, server.started, work, mean, can, fleet.loop.now)
+
     def _job(self, turn: Turn, request: Request) -> Job:
         labels = dict(part.split("=") for part in request.headers["x-labels"].split(","))
         answer = Random(turn.request_id).uniform(*self.fleet.traffic[request.headers["x-lane"]].answer)
@@ -167,6 +183,18 @@
         self.fleet.states = {r: where for r, where in self.fleet.states.items() if where is not self}
         self.server = Server(self.fleet.time, self.server.engine)
 
+    def cool(self) -> None:
+        """Its process has only now begun."""
+        settings, server = self.fleet.rules.settings, self.server
+        server.started = self.fleet.loop.now
+        server.cold_from, server.cold_time = settings.cold_from, settings.cold_time
+
+    def warm_up(self) -> None:
+        """Warming changes its pace bit by bit."""
+        server = self.server
+        if self.fleet.loop.now - server.started < server.cold_time + 1.0:
+            server.replan()
+
     def close(self) -> None:
         for listener in self._listeners:
             listener.close()
--- a/yewlab/rules.py
+++ b/yewlab/rules.py
@@ -69,9 +69,13 @@
             self._break(now, f"{request} answered twice")
         if not one.streaming and (late := self._late(one, now)) > 0:
             self._break(now, f"{request} answered {late:.3f} s late")
-        if refused and one.effect is Effect.UNSAFE and (one.may_have_run or one.out):
+        return self.refused(request, now) if refused else None
+
+    def refused(self, request: str, now: float) -> None:
+        """What a refusal says of a request must hold: that it has not run, nor will."""
+        one = self._open.get(request)
+        if one is not None and one.effect is Effect.UNSAFE and (one.may_have_run or one.out):
             self._break(now, f"{request} refused as harmless though it may have run, or may yet")
-        return None
 
     def lost(self, request: str) -> None:
         """Its router's process died: nobody is left to answer it or to let go of anything."""
