--- a/tests/levels/test_admission.py
+++ b/tests/levels/test_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from itertools import pairwise, product
 from typing import Any
 
@@ -162,3 +163,12 @@
         turns.read(LOOKUP, False, 1200.0, 1200.0)
     assert turns.sort(arrival("b"), 1.0).work == pytest.approx(50.0)
     assert before > 100.0
+
+
+def test_a_class_that_never_came_is_not_taken_for_the_worthiest() -> None:
+    # It counted as costing next to nothing, so that all who did come gave way to nobody.
+    settings = replace(SETTINGS, worth_by_work=False)
+    turns = Turns(settings, 1.5)
+    for n in range(5):
+        turns.sort(i.RequestArrived(f"r{n}", LOG, 0, "s", 8.0, 900.0, max_tokens=400.0), float(n))
+    assert top_classes(settings, turns.mean_work) == {LOG}
--- a/tests/levels/test_operators_file.py
+++ b/tests/levels/test_operators_file.py
@@ -70,6 +70,9 @@
         ("[levels]\ntarget = 1.5", "levels.target: got 1.5, expected 0.1 to 1"),
         ('[levels]\nuse = ["full"]', "levels.use"),
         ('[log]\nform = "xml"', "log.form: got 'xml'"),
+        ('[recovery]\nmode = "on"', "levels.mode: got 'off', expected 'on', for recovery.mode is 'on'"),
+        ("[recovery]\ncut = 1.5", "recovery.cut: got 1.5, expected 0.1 to 0.95"),
+        ("[recovery]\nfolders = 1", "recovery.folders: got 1, expected no such key"),
         ("[levels", "service.toml"),
     ],
 )
@@ -96,3 +99,11 @@
 def test_a_time_without_its_unit_is_refused(words: list[str]) -> None:
     done = CliRunner().invoke(app, ["levels", "pin", "thrifty", "--reason", "x", *words])
     assert done.exit_code == 2 and "expected a time as 90s, 10m, 2h or 1d" in done.output
+
+
+def test_the_recovery_is_off_without_a_word_and_its_paths_start_from_the_file(tmp_path: Path) -> None:
+    assert read(written(tmp_path, "")).recovery is None
+    text = '[levels]\nmode = "on"\n[recovery]\nmode = "on"\nfolder = "kept"\nevery_s = 5\n'
+    recovery = read(written(tmp_path, text)).recovery
+    assert recovery is not None and recovery.every == 5.0
+    assert recovery.folder == tmp_path / "kept"
--- /dev/null
+++ b/tests/processes/test_power.py
@@ -0,0 +1,30 @@
+"""A power loss of real processes, as `yewhook lab power` plays it, with the recovery alone and cut short."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from yewlab.processes.power import FAULTS, draw, play
+
+NONE = ("rules_broken", "cold_pushed_over", "sends_to_gone_or_drained", "taken_by_drained",
+        "duplicates_of_unsafe", "faults")  # fmt: skip
+
+
+def test_everything_comes_back_and_what_was_drained_stays_so() -> None:
+    plan = replace(draw(3, ("drain", "register-old")), halls=(0.0, 1.0, 2.0), register=1.5, after=6.0)
+    figures, told = play(plan, with_it=True)
+    assert not any(figures[name] for name in NONE), told
+    assert figures["answered_once"] > 100
+    assert any("restart judged: the whole fleet" in line for line in told)
+    assert any("register began anew" in line for line in told)
+    assert any("wanted state read: revision 1" in line for line in told)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_seed_draws_the_same_faults_each_time_and_no_unknown_ones(seed: int) -> None:
+    plan = draw(seed)
+    assert plan == draw(seed) and plan.faults <= set(FAULTS)
+    assert {"never", "drain"} <= plan.faults and len(plan.faults) == 5
+    assert plan.all <= 14.0
--- a/tests/test_mass.py
+++ b/tests/test_mass.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from yewlab import site
+from yewlab import power, site
 from yewlab.mass import DAYS, Mass, play
 from yewlab.rules import Rules
 
@@ -20,6 +20,12 @@
     assert result.worth > 0.3
 
 
+def test_a_loss_of_all_is_come_back_from_in_order() -> None:
+    ours, theirs = (power.play(2, routers=12, workers=20, with_it=way).figures for way in (True, False))
+    assert ours["broken"] == 0 and ours["words"] > 12
+    assert ours["top_class"] >= theirs["top_class"] + 0.05
+
+
 def test_a_router_that_is_killed_loses_what_it_had_and_another_serves_its_clients() -> None:
     mass = Mass(seed=1, routers=3, workers=5)
     mass.sim.run(mass.sim.now + 5.0)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -157,3 +157,82 @@
         with pytest.raises(Refused, match="by c is under way, since 4 s"):
             upgrading.take(order, "d", 7.0)
     assert upgrading.over() == orders and orders.take(Order.RESUME, "e", 9.0) == Orders()
+
+
+class Lasting(OneRouter):
+    """The same, with a folder for what operators order."""
+
+    def write(self, folder: Path) -> Path:
+        path = super().write(folder)
+        lines = 'state = "state"\nat_a_time = 1\n[[instance]]'
+        path.write_text(path.read_text().replace("[[instance]]", lines))
+        return path
+
+
+def test_a_drain_and_a_stop_outlive_a_loss_of_agent_and_routers(tmp_path: Path) -> None:
+    first = Lasting(tmp_path)
+    first.until(lambda: first.states() == ["ready"])
+    assert first.command("drain", "n1", "--by", "the night shift").exit_code == 0
+    pid = first.one.report()["pid"]
+    # Power is gone: nothing is told to end, and the next agent has the folder alone.
+    os.kill(pid, signal.SIGKILL)
+    first.agent.close()
+
+    second = Lasting(tmp_path)
+    second.until(lambda: second.states() == ["drained"])
+    shown = json.loads(second.command("status", "--json").output)[0]
+    assert shown["orders"][0]["by"] == "the night shift" and second.health() == 503
+    assert second.command("resume", "n1").exit_code == 0
+    second.until(lambda: second.states() == ["ready"])
+    assert second.command("stop", "n1").exit_code == 0
+    second.until(lambda: second.states() == ["stopped"])
+    second.agent.close()
+
+    third = Lasting(tmp_path)
+    third.service.loop.run_turn(0.2)
+    assert third.states() == ["stopped"]
+    third.agent.close()
+
+
+def test_an_order_that_can_not_be_written_down_is_refused(tmp_path: Path) -> None:
+    run = Lasting(tmp_path)
+    run.until(lambda: run.states() == ["ready"])
+    (tmp_path / "state" / "wanted.new").mkdir()  # no file can take this name
+    failed = run.command("drain", "n1")
+    assert failed.exit_code == 1 and "written down" in failed.output
+    assert run.states() == ["ready"] and run.health() == 200
+    run.agent.break_off()
+    run.agent.close()
+
+
+def test_instances_start_a_few_at_a_time(tmp_path: Path) -> None:
+    class Two(Running):
+        def write(self, folder: Path) -> Path:
+            path = super().write(folder)
+            path.write_text(path.read_text().replace("grace_s", "at_a_time = 1\ngrace_s"))
+            return path
+
+    run = Two(tmp_path)
+    run.service.loop.run_turn(0.0)
+    assert run.states() == ["starting", "due"]
+    run.until(lambda: run.states()[0] == "ready")
+    run.until(lambda: run.states() == ["ready", "ready"])
+    run.agent.break_off()
+    run.agent.close()
+
+
+def test_how_far_routers_have_come_back_is_shown(tmp_path: Path) -> None:
+    run = OneRouter(tmp_path)
+    text = '[levels]\nmode = "on"\n[recovery]\nmode = "on"\nfolder = "kept"\n'
+    (tmp_path / "service.toml").write_text(text)
+    path = tmp_path / "fleet.toml"
+    line = 'config = "n1.json"'
+    path.write_text(path.read_text().replace(line, f'{line}\nsettings = "service.toml"'))
+    run.service.reload()
+    run.until(lambda: run.states() == ["ready"] and bool(run.one.report()["recovery"]))
+    shown = run.command("recovery", "show")
+    assert shown.exit_code == 0 and "n1\tready\tnothing known for" in shown.output
+    assert "waits for a list with a reader and a writer" in shown.output
+    run.until(lambda: (tmp_path / "kept" / "snapshot").exists())
+    run.agent.break_off()
+    run.agent.close()
--- a/yewhook/commands/lab.py
+++ b/yewhook/commands/lab.py
@@ -9,6 +9,7 @@
 import typer
 
 lab = typer.Typer(no_args_is_help=True, help="Experiments on virtual time (needs the lab extra).")
+POWER = "power"  # the day of a fleet on which all is lost, played twice
 Seed = Annotated[int, typer.Option(min=0, help="The same seed gives the same result.")]
 
 
@@ -83,11 +84,13 @@
     """Play days of many routers on virtual time and check the rules over all of them; exit 1 if one is
     broken."""
     from yewlab.mass import DAYS, play_all
+    from yewlab.power import compare
 
-    names = day or list(DAYS)
-    if unknown := [name for name in names if name not in DAYS]:
-        raise typer.BadParameter(f"{unknown[0]!r}: expected one of {', '.join(DAYS)}", param_hint="--day")
-    results = play_all(names, seed, routers, workers, load)
+    names, known = day or list(DAYS), [*DAYS, POWER]
+    if unknown := [name for name in names if name not in known]:
+        raise typer.BadParameter(f"{unknown[0]!r}: expected one of {', '.join(known)}", param_hint="--day")
+    lost = compare(seed, routers, workers, load) if POWER in names else None
+    results = play_all([name for name in names if name != POWER], seed, routers, workers, load)
     for result in results:
         typer.echo(
             f"{result.day:<6} {result.turns} turns, worth {result.worth:.3f}, {result.refused} refused, "
@@ -95,9 +98,16 @@
             + "".join(f"\n       {what}" for what in (*result.broken[:5], *result.faults[:5])),
             err=as_json,
         )
+    figures = {result.day: result.figures() for result in results}
+    if lost is not None:
+        figures[POWER] = lost.figures()
+        typer.echo(f"{POWER:<6} {lost.figures()}", err=as_json)
+        for what in (*lost.ours.broken[:5], *lost.ours.faults[:5]):
+            typer.echo(f"       {what}", err=as_json)
     if as_json:
-        typer.echo(json.dumps({result.day: result.figures() for result in results}))
-    raise typer.Exit(0 if all(result.holds for result in results) else 1)
+        typer.echo(json.dumps(figures))
+    hold = all(result.holds for result in results) and (lost is None or lost.holds)
+    raise typer.Exit(0 if hold else 1)
 
 
 @lab.command()
--- a/yewhook/levels/turns.py
+++ b/yewhook/levels/turns.py
@@ -89,8 +89,10 @@
 
     @property
     def mean_work(self) -> list[float]:
-        """By class."""
-        return [mean.known(1.0) for mean in self._work]
+        """By class; one that never came counts as the others do, and not as one that costs nothing."""
+        seen = [mean.value for mean in self._work if mean.count]
+        otherwise = sum(seen) / len(seen) if seen else 1.0
+        return [mean.known(otherwise) for mean in self._work]
 
     # ---- what is learnt ----
 
--- a/yewhook/recovery/keeper.py
+++ b/yewhook/recovery/keeper.py
@@ -60,7 +60,9 @@
         self._tell: Callable[[bytes], None] = lambda data: None
         self._timer, self._writing = Timer(loop), Timer(loop)
         self._kept: Kept | None = None
+        self._steps: Iterator[None] | None = None  # of a snapshot that is being written
         self._recalled = False
+        self._drains: frozenset[int] = frozenset()  # that the latest snapshot knows of
         self._generations = self._open()
         self._old = self._load()
 
@@ -174,6 +176,8 @@
             self._loop.log("workers gone", f"{len(gone)} that the register left out, and nobody has met")
             self._kept.router.listed(ListKind.CHANGES, gone)
         self._recall()
+        if self._generations is not None and not self._steps and self.recovery.drains != self._drains:
+            self._writing.set(0.0, self._write)  # an order is not to be lost to a snapshot that is due later
         self._timer.set(LOOK_EVERY, self._look)
 
     def _recall(self) -> None:
@@ -195,6 +199,7 @@
 
     def _write(self) -> None:
         assert self._kept is not None and self._generations is not None
+        self._drains = self.recovery.drains
         began = time.perf_counter()
         try:
             data = pack(self._snapshot(self._kept))
@@ -204,6 +209,7 @@
         except (FormError, TypeError, ValueError) as error:
             self._loop.log("snapshot not made", str(error))
             return self._writing.set(self._settings.every, self._write)
+        self._steps = steps
         return self._step(steps, time.perf_counter() - began)
 
     def _step(self, steps: Iterator[None], cost: float) -> None:
@@ -212,9 +218,11 @@
         try:
             next(steps)
         except StopIteration:
+            self._steps = None
             wait = max(self._settings.every, cost / COST_MOST)
             return self._writing.set(wait, self._write)
         except OSError as error:
+            self._steps = None
             self._loop.log("snapshot not written", str(error))
             return self._writing.set(self._settings.every, self._write)
         cost += time.perf_counter() - began
--- a/yewhook/recovery/recovery.py
+++ b/yewhook/recovery/recovery.py
@@ -149,7 +149,13 @@
         if whole:
             kept = tuple(held[n] for n in self._missed if n not in {server.id for server in servers})
         self._missed = {n: at for n, at in self._missed.items() if n not in {s.id for s in servers}}
+        if whole and self._past is not None:
+            # Only what the register says: a list kept from before tells of the starts of before.
+            before = {server.id for server in self._past.servers}
+            self._starts = {server.id: server.started for server in named if server.id in before}
         for server in named:
+            if server.id in self._starts:
+                self._starts[server.id] = server.started
             self._note_server(server, Source.REGISTER, now)
             if server.state is ServerState.GONE:
                 self.ledger.forget(server.id)
@@ -167,6 +173,11 @@
             return server
         return server._replace(state=ServerState.DRAINING)
 
+    @property
+    def drains(self) -> frozenset[int]:
+        """Workers that are told to drain."""
+        return frozenset(n for n, s in self._servers.items() if s.state is ServerState.DRAINING)
+
     def missed(self, now: float) -> tuple[i.Server, ...]:
         """Workers whose time is over that a register's new beginning left out: they are gone."""
         over = [n for n, until in self._missed.items() if now >= until]
@@ -218,10 +229,6 @@
             if server.state is not ServerState.RUNNING or (old and old.started != server.started):
                 self._proven.pop(number, None)
         self._servers |= named
-        if event.kind is ListKind.FULL and self._past is not None:
-            # Only what the register says: a list kept from before tells of the starts of before.
-            before = {server.id for server in self._past.servers}
-            self._starts = {n: s.started for n, s in named.items() if n in before and n not in self._missed}
 
     def ended(self, turn: Turn, late: bool, sent: bool, top: bool, now: float) -> None:
         """A turn's first answer has come, late or not, or never. Of the lesser ones what no server had says
--- a/yewlab/power.py
+++ b/yewlab/power.py
@@ -32,6 +32,8 @@
 SEEN_AFTER = 20.0  # s after all is back that still count
 HALF, FULL = 0.5, 0.9  # of what is asked for, in a window of
 WINDOW = 3.0  # s
+GAIN = 0.05  # by which the worthiest class is to be better off
+SAME = ("worth", "top_class", "other_class", "half_s", "full_s", "broken")
 LOST_WORDS, WORD_TAKES = 0.3, (0.002, 0.4)  # part of the words; s, so that they come in any order
 
 
@@ -185,6 +187,26 @@
     said: tuple[str, ...]
 
 
+def _warm(power: Power, part: float) -> float | None:
+    """s from the first hall's return until that part of what returns at all is warm, at the scarcer stage:
+    no router can serve more before."""
+    back = power.lost_at + power.script.first
+    settings = power.rules.settings
+    starts = [
+        (box.server.engine.role, box.server.started) for box in power.fleet.boxes.values() if not box.off
+    ]
+
+    def able(role: Role, at: float) -> float:
+        ages = [at - began for of, began in starts if of in (role, Role.MIXED)]
+        warm = [min(1.0, age / settings.cold_time) for age in ages if age >= 0]
+        return sum(settings.cold_from + (1.0 - settings.cold_from) * one for one in warm) / len(ages)
+
+    seconds = range(round(power.script.all - power.script.first + SEEN_AFTER))
+    stages = (Role.READER, Role.WRITER)
+    reached = (s for s in seconds if min(able(role, back + s) for role in stages) >= part)
+    return next((float(s) for s in reached), None)
+
+
 def _reached(tallies: dict[int, Tally], part: float, last: int) -> float | None:
     """s until that part of the worth asked for in a window is served, and stays so for a further one."""
     def share(second: int) -> float:
@@ -212,6 +234,7 @@
     figures = {
         "turns": after.turns, "worth": round(after.worth, 4), "top_class": round(after.served(top), 4),
         "other_class": round(min(after.served(n) for n in range(2) if n != top), 4),
+        "warm_half_s": _warm(power, HALF), "warm_full_s": _warm(power, FULL),
         "refused": after.refused, "half_s": _reached(seconds, HALF, last),
         "full_s": _reached(seconds, FULL, last), "broken": len(power.rules.broken), "words": power.words,
         "cold_pushed_over": sum("pushed over" in what for what in power.rules.broken),
@@ -220,8 +243,24 @@
     return Outcome(figures, tuple(power.rules.broken), faults, tuple(power.logs[-1].said))
 
 
-def compare(seed: int, routers: int, workers: int, turns: float = TURNS) -> tuple[Outcome, Outcome]:
+@dataclass(frozen=True, slots=True)
+class Comparison:
+    ours: Outcome
+    theirs: Outcome
+
+    @property
+    def holds(self) -> bool:
+        """No rule broken, no fault, and the worthiest class better off than without."""
+        gain = self.ours.figures["top_class"] - self.theirs.figures["top_class"]
+        return not self.ours.broken and not self.ours.faults and gain >= GAIN
+
+    def figures(self) -> dict[str, Any]:
+        theirs = {f"{name}_without": self.theirs.figures[name] for name in SAME}
+        return self.ours.figures | theirs
+
+
+def compare(seed: int, routers: int, workers: int, turns: float = TURNS) -> Comparison:
     """With the recovery and without it."""
     with processes() as pool:
         runs = [pool.submit(play, seed, routers, workers, turns, way) for way in (True, False)]
-        return runs[0].result(), runs[1].result()
+        return Comparison(runs[0].result(), runs[1].result())
--- a/yewlab/processes/power.py
+++ b/yewlab/processes/power.py
@@ -62,6 +62,7 @@
     second: float
     never: frozenset[str]
     seed: int
+    after: float = AFTER
 
     @property
     def all(self) -> float:
@@ -147,7 +148,7 @@
         for name in sorted(plan.never):
             if name in stage.register.entries:
                 stage.register.put(name, lifecycle="removed")
-        yield max(0.0, self.back_at + plan.all + AFTER - loop.now)
+        yield max(0.0, self.back_at + plan.all + plan.after - loop.now)
         clients.stopped = True
         end = loop.now + OVER
         yield lambda: not clients.open or loop.now > end
@@ -233,9 +234,8 @@
             if not path.exists():
                 continue
             data = path.read_bytes()
-            if "cut-snapshot" in faults and number % 2:
-                path.write_bytes(data[: random.randrange(len(data))])
-                continue
+            if "cut-snapshot" in faults:  # power failed while the next one was written
+                path.with_name("snapshot.new").write_bytes(data[: random.randrange(len(data))])
             try:
                 snapshot = unseal(NAME, "snapshot", data, Snapshot)
             except FormError:
@@ -331,7 +331,7 @@
         by_drained = stage.clients.ways[int(DRAINED_ROUTER[1:])].taken if drains else 0
         top = max(stage.clients.lanes, key=lambda lane: stage.clients.class_of(lane).worth)
         asked = sum(tally.asked.values()) or 1.0
-        last = int(self.back_at + self.plan.all + AFTER)
+        last = int(self.back_at + self.plan.all + self.plan.after)
         return {
             "requests": tally.requests,
             "answered_once": tally.answered_once,
