--- a/yewhook/commands/lab.py
+++ b/yewhook/commands/lab.py
@@ -79,6 +79,7 @@
     routers: Annotated[int, typer.Option(min=2, max=1000)] = 200,
     workers: Annotated[int, typer.Option(min=5, max=1000)] = 100,
     load: Annotated[float, typer.Option(min=0.1, max=3.0, help="Turns a second for each worker.")] = 0.75,
+    chart: Annotated[Path | None, typer.Option(help="Draw the return of the day `power` into it.")] = None,
     as_json: Annotated[bool, typer.Option("--json", help="One JSON object at the end.")] = False,
 ) -> None:
     """Play days of many routers on virtual time and check the rules over all of them; exit 1 if one is
@@ -98,6 +99,10 @@
             + "".join(f"\n       {what}" for what in (*result.broken[:5], *result.faults[:5])),
             err=as_json,
         )
+    if lost is not None and chart is not None:
+        from yewlab.charts import draw_return
+
+        draw_return(lost.ours.answered, lost.theirs.answered, lost.figures(), chart)
     figures = {result.day: result.figures() for result in results}
     if lost is not None:
         figures[POWER] = lost.figures()
--- a/yewlab/charts.py
+++ b/yewlab/charts.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Sequence
 from pathlib import Path
+from typing import Any
 
 import matplotlib
 
@@ -37,3 +39,24 @@
     metadata = {"Date": None} if path.suffix == ".svg" else None
     figure.savefig(path, metadata=metadata)
     pyplot.close(figure)
+
+
+Answered = Sequence[tuple[float, float]]  # s, part of the worth asked for in that second
+
+
+def draw_return(ours: Answered, theirs: Answered, figures: Mapping[str, Any], path: Path) -> None:
+    """What of each second's worth is answered after a power loss, with the recovery and without it."""
+    figure, axes = pyplot.subplots(figsize=(8, 4))
+    for label, run in (("without the recovery", theirs), ("with it", ours)):
+        axes.plot([at for at, _ in run], [part for _, part in run], label=label)
+    for name, words in (("warm_half_s", "half is warm"), ("warm_full_s", "nine tenths are")):
+        if figures[name] is not None:
+            axes.axvline(figures[name], linestyle=":", color="tab:gray")
+            axes.annotate(words, (figures[name], 1.0), rotation=90, va="top", ha="right")
+    axes.set_xlabel("s after the first hall's return")
+    axes.set_ylabel("worth answered, of that asked for")
+    axes.set_ylim(0.0, 1.05)
+    axes.legend(loc="lower right")
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Date": None} if path.suffix == ".svg" else None)
+    pyplot.close(figure)
--- a/yewlab/power.py
+++ b/yewlab/power.py
@@ -185,6 +185,7 @@
     broken: tuple[str, ...]
     faults: tuple[str, ...]
     said: tuple[str, ...]
+    answered: tuple[tuple[float, float], ...]  # s after the first hall, part of the worth asked then
 
 
 def _warm(power: Power, part: float) -> float | None:
@@ -240,7 +241,8 @@
         "cold_pushed_over": sum("pushed over" in what for what in power.rules.broken),
     }  # fmt: skip
     faults = tuple(fault for log in power.logs for fault in log.faults)
-    return Outcome(figures, tuple(power.rules.broken), faults, tuple(power.logs[-1].said))
+    answered = tuple((float(s), seconds[s].worth) for s in sorted(seconds) if 0 <= s < last)
+    return Outcome(figures, tuple(power.rules.broken), faults, tuple(power.logs[-1].said), answered)
 
 
 @dataclass(frozen=True, slots=True)
--- a/yewlab/processes/power.py
+++ b/yewlab/processes/power.py
@@ -185,10 +185,11 @@
         worker.cool()
         for number in range(ROUTERS):
             self.stage.links[number, name].restore()
-        if self.register_up:
+        if self.hears:
             self._tell_start(name)
 
     register_up: bool = False
+    hears: bool = False  # the register hears of starts; one that has fallen back does later
     renamed: dict[str, str] = field(default_factory=dict)
 
     def _rename(self, name: str) -> None:
@@ -289,7 +290,6 @@
         """It comes back with what it has, in one of three ways."""
         stage, faults = self.stage, self.plan.faults
         self.register_up = True
-        up = [name for name in stage.workers.boxes if name not in self.off]
         generation = 1 if {"register-empty", "register-old"} & faults else stage.register.generation
         entries: dict[str, dict[str, Any]] = {}
         if "register-empty" not in faults:
@@ -299,14 +299,13 @@
                 entry["lifecycle"] = "up"  # from before the drain
         stage.register.begin_anew(generation, entries)
         self._open_register()
-        if "register-old" in faults:
-            stage.loop.after(NOTICED, lambda: self._catch_up(up))
-        else:
-            self._catch_up(up)
+        behind = max(0.0, self.plan.halls[1] - self.plan.register) + NOTICED
+        stage.loop.after(behind if "register-old" in faults else 0.0, self._catch_up)
 
-    def _catch_up(self, names: list[str]) -> None:
+    def _catch_up(self) -> None:
         """It hears of the starts there have been."""
-        for name in names:
+        self.hears = True
+        for name in self.stage.workers.boxes:
             if name not in self.off:
                 self._tell_start(name)
 
