--- a/yewhook/recovery/phases.py
+++ b/yewhook/recovery/phases.py
@@ -28,7 +28,7 @@
 }
 WAITS_FOR = {
     Phase.NOTHING: "a list with a reader and a writer, or a mixed worker",
-    Phase.COLD: "an answer of a reader and of a writer, or of a mixed worker",
+    Phase.COLD: "an answer or a new start of a reader and of a writer, or of a mixed worker",
     Phase.TRICKLE: "answers in time for a while",
     Phase.RAMP: "all that is asked fits what is warm, for a while",
     Phase.FULL: "",
@@ -41,7 +41,7 @@
     """What the phase goes by at one moment."""
 
     path: bool  # by the list there is a reader and a writer, or a mixed worker
-    proven: bool  # such workers have answered somebody lately
+    proven: bool  # such workers have answered somebody, or were started since the loss
     late: bool  # too much of the worth is late or lost
     fits: bool  # all that is asked for is admitted
     warm: float  # part of the known workers' capacity
--- a/yewhook/recovery/recovery.py
+++ b/yewhook/recovery/recovery.py
@@ -16,10 +16,11 @@
 from hopshed.interface import ListKind, Outcome, Role, ServerState
 from hopshed.state import Estimate
 
+from ..levels.estimators import Share
 from ..levels.turns import Standing as TurnStanding
 from ..levels.turns import Turn
 from .phases import WAITS_FOR, Phase, Sight, Standing
-from .ramp import Ramp, Rank, rank
+from .ramp import LATE_SPAN, Ramp, Rank, rank
 from .settings import RecoverySettings
 from .trust import LIVES, Fact, Kind, Ledger, Source
 from .verdict import Evidence, Scope, Verdict, judge
@@ -92,10 +93,13 @@
         self._missed: dict[int, float] = {}  # worker that a new beginning left out -> until when it is kept
         self._routers: dict[int, tuple[float, float]] = {}  # other router -> up since, heard
         self._proven: dict[int, float] = {}  # worker -> since when it warms up, where no list says
+        self._restarted: set[int] = set()  # workers that the register has told of since the loss
         self._usual: Usual | None = None
         self._rates_told = True
         self._lost: dict[int, float] = {}  # worker -> when nothing came back from it
         self._warm = 0.0
+        self._mean_worth = 1.0
+        self._own_late = Share(LATE_SPAN, 0.0)  # what other routers are told; theirs must not come round
 
     @property
     def active(self) -> bool:
@@ -159,8 +163,14 @@
             self._note_server(server, Source.REGISTER, now)
             if server.state is ServerState.GONE:
                 self.ledger.forget(server.id)
+            elif self._began_since(server):  # somebody has told the register of it since the loss
+                self._restarted.add(server.id)
         return named + kept
 
+    def _began_since(self, server: i.Server) -> bool:
+        """Whether its process is a new one since this router's snapshot."""
+        return self._past is not None and server.started is not None and server.started > self._past.wrote
+
     def _drained(self, server: i.Server, back: bool) -> i.Server:
         """A drain ends by the register's later word or with its process, not by a list from before it."""
         order = self.ledger.best(Kind.DRAIN, server.id, self.began)
@@ -229,18 +239,24 @@
             if server.state is not ServerState.RUNNING or (old and old.started != server.started):
                 self._proven.pop(number, None)
         self._servers |= named
+        for number in self._restarted & named.keys():
+            self._proven.setdefault(number, -math.inf)
+        self._restarted -= named.keys()
 
     def ended(self, turn: Turn, late: bool, sent: bool, top: bool, now: float) -> None:
         """A turn's first answer has come, late or not, or never. Of the lesser ones what no server had says
         nothing; of the worthiest, it says that others took their place."""
         if sent or top:
             self.ramp.late.add(turn.worth, late, now)
+            self._own_late.add(turn.worth, late, now)
 
     def heard(self, sender: int, word: Word, now: float) -> None:
         """Another router's word."""
         self._routers[sender] = (now - word.up_for, now)
         count = sum(now - heard < ROUTER_HEARD for _, heard in self._routers.values()) + 1
         self.ledger.note(Fact(Kind.ROUTERS, 0, count, Source.PEERS, now))
+        self.ramp.late.add(word.turns * self._mean_worth * word.late, True, now)
+        self.ramp.late.add(word.turns * self._mean_worth * (1.0 - word.late), False, now)
         for seen in word.workers:
             at = now - seen.age
             if seen.runs and seen.server in self._servers:
@@ -252,7 +268,9 @@
         met = (self.ledger.best(Kind.RUNS, n, now) for n in self.ledger.about(Kind.RUNS))
         seen = [Seen(f.about, True, now - f.at) for f in met if f and f.source is Source.ANSWERS]
         seen += [Seen(n, False, now - at) for n, at in self._lost.items() if now - at < LOST_FOR]
-        return Word(asks, self.standing.phase, now - self.began, choose(seen, self._random))
+        late, worth = self._own_late.at(now), self._own_late.all.faded(now, LATE_SPAN)
+        workers, turns = choose(seen, self._random), worth / max(self._mean_worth, 1e-9)
+        return Word(asks, self.standing.phase, now - self.began, workers, late, turns)
 
     def _shown(self, server: int, now: float) -> bool:
         fact = self.ledger.best(Kind.RUNS, server, now)
@@ -266,6 +284,7 @@
 
     def look(self, now: float, sight: dict[Role, i.RoleSight], mean_worth: float) -> None:
         self._judge(now)
+        self._mean_worth = mean_worth
         self.ramp.late.least = FEW * mean_worth
         seen = self._sight(now, sight)
         before, self.standing = self.standing, self.standing.step(seen, now, self.settings.calm)
--- a/yewhook/recovery/words.py
+++ b/yewhook/recovery/words.py
@@ -13,12 +13,13 @@
 from .phases import Phase
 
 MARK, VERSION = b"P", 1
-HEAD = struct.Struct("!cBBBHI")  # mark, version, flags, phase, workers, up for (tenths of s)
+# Mark, version, flags, phase, workers, lateness (255 = all), turns lately (tenths), up for (tenths of s)
+HEAD = struct.Struct("!cBBBBBBI")
 WORKER = struct.Struct("!QBB")  # number, up or gone, seen so many tenths of a s ago
 WORKERS_MOST, LONGEST = 20, 256  # a datagram's limit is the platform's
 ASKS = 1  # flag
 FIRST = (0.05, 0.6)  # s after the start in which a router speaks first
-AGAIN = 3.0  # s between words while it recovers, times up to two by chance
+AGAIN = 1.0  # s between words while it recovers, times up to two by chance
 ASKERS, ANSWERS = 3.0, 4.0  # questions of a fleet, and answers to one, on average
 ANSWER_IN = (0.02, 0.3)  # s
 
@@ -36,12 +37,15 @@
     phase: Phase
     up_for: float  # s
     workers: tuple[Seen, ...] = ()
+    late: float = 0.0  # part of the worth that it answered late, or lost, in the last second or so
+    turns: float = 0.0  # by how many turns it knows that
 
 
 def pack(word: Word) -> bytes:
     workers = word.workers[:WORKERS_MOST]
     up = min(0xFFFFFFFF, max(0, round(word.up_for * 10)))
-    head = HEAD.pack(MARK, VERSION, ASKS * word.asks, word.phase, len(workers), up)
+    late, turns = (min(255, max(0, round(255 * word.late))), min(255, max(0, round(10 * word.turns))))
+    head = HEAD.pack(MARK, VERSION, ASKS * word.asks, word.phase, len(workers), late, turns, up)
     rest = (WORKER.pack(w.server, w.runs, min(255, max(0, round(w.age * 10)))) for w in workers)
     return head + b"".join(rest)
 
@@ -50,14 +54,14 @@
     """Raises ValueError where it is not a word, or of another version."""
     if len(data) < HEAD.size or data[:1] != MARK:
         raise ValueError(f"a message of {len(data)} bytes that begins with {data[:1]!r}")
-    _, version, flags, phase, count, up = HEAD.unpack_from(data)
+    _, version, flags, phase, count, late, turns, up = HEAD.unpack_from(data)
     if version != VERSION:
         raise ValueError(f"a word of version {version}, and {VERSION} is read here")
     if len(data) != HEAD.size + count * WORKER.size or count > WORKERS_MOST:
         raise ValueError(f"a word of {len(data)} bytes for {count} workers")
     seen = (WORKER.unpack_from(data, HEAD.size + n * WORKER.size) for n in range(count))
     workers = tuple(Seen(server, bool(runs), age / 10) for server, runs, age in seen)
-    return Word(bool(flags & ASKS), Phase(phase), up / 10, workers)
+    return Word(bool(flags & ASKS), Phase(phase), up / 10, workers, late / 255, turns / 10)
 
 
 class Speaker:
