--- a/tests/recovery/test_recovery.py
+++ b/tests/recovery/test_recovery.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 from random import Random
 from typing import Any
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from hopshed import interface as i
 from hopshed.interface import ListKind, Outcome, Role, RoleSight, ServerState
 from yewhook.levels.governor import Governor
@@ -177,3 +182,24 @@
     report = play.recovery.report(play.now)
     assert report["phase"] == "known but cold" and "a new start of a reader" in report["waits_for"]
     assert report["workers_by_source"] == {"the register": 6} and report["snapshot_age_s"] == 10.2
+
+
+def test_a_router_without_it_loads_none_of_it() -> None:
+    code = (
+        "import sys, yewhook.cli, yewhook.platform.front, yewhook.oversight, yewhook.operations.door;"
+        "print(*(m for m in sys.modules if m.startswith('yewhook.recovery') or m == 'msgspec'))"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert done.stdout.split() == []
+
+
+@given(st.lists(st.tuples(st.sampled_from(range(6)), st.booleans()), max_size=30))
+def test_more_evidence_never_makes_it_reckon_with_more_than_there_is(events: list[tuple[int, bool]]) -> None:
+    play = Play(past(*ALL))
+    play.recovery.expect(Usual(3.0, dict.fromkeys(Role, 2), {}))
+    play.listed(ALL, 41)
+    for number, lives in events:
+        play.now += 0.5
+        play.answered(number, Outcome.OK if lives else Outcome.UNREACHABLE)
+        warm = play.recovery._shown_to_do(play.recovery._able(play.now))
+        assert 0.0 <= warm <= 3.0
--- a/yewhook/commands/lab.py
+++ b/yewhook/commands/lab.py
@@ -148,3 +148,28 @@
         typer.echo(line, err=as_json)
     typer.echo(json.dumps(result.figures))
     raise typer.Exit(0 if result.holds else 1)
+
+
+@lab.command()
+def replace(
+    way: Annotated[list[str] | None, typer.Option(help="May be repeated. All without.")] = None,
+    seed: Seed = 1,
+) -> None:
+    """Replace every router of a small fleet in turn, under load, and print what each way of it costs."""
+    from yewlab.processes.replace import WAYS, measure
+
+    if unknown := [name for name in way or [] if name not in WAYS]:
+        raise typer.BadParameter(f"{unknown[0]!r}: expected one of {', '.join(WAYS)}", param_hint="--way")
+    costs = [measure(name, seed) for name in way or WAYS]
+    for cost in costs:
+        typer.echo(
+            f"{cost.way:<8} worth {cost.worth:.3f} of {cost.requests} requests, "
+            f"{cost.lost_with_process} lost with a process, {cost.unread} unread, "
+            f"{cost.broken_off} broken off, {cost.rules_broken} rules broken"
+        )
+        if cost.last_taken is not None and cost.last_answered is not None:
+            typer.echo(
+                f"         after the order last taken {cost.last_taken:.2f} s, "
+                f"last answered {cost.last_answered:.2f} s"
+            )
+    raise typer.Exit(0 if not any(cost.rules_broken for cost in costs) else 1)
--- a/yewlab/processes/clients.py
+++ b/yewlab/processes/clients.py
@@ -32,6 +32,8 @@
     killed_at: float = -1e9  # the last time that one of its processes was killed outright
     sides: list[ClientSide] = field(default_factory=list)
     taken: int = 0  # requests that were sent there
+    last_taken: float = -1e9
+    last_answered: float = -1e9
 
     def open_to(self, now: float) -> bool:
         return self.healthy or now - self.no_since < STILL_SENDS
@@ -181,7 +183,7 @@
             return self._again(AGAIN)
         self.id, self.again = clients.next_id(), False
         self.tally.requests += 1
-        way.taken += 1
+        way.taken, way.last_taken = way.taken + 1, clients.loop.now
         clients.open += 1
         self.began = clients.loop.now
         self.patience = self.cls.patience * clients.random.uniform(0.5, 1.0)
@@ -237,6 +239,7 @@
     def _answered(self, refused: bool) -> None:
         clients, request = self.clients, self.id
         clients.open -= 1
+        self.way.last_answered = clients.loop.now
         clients.rules.answered(request, False, clients.loop.now)
         if refused:
             clients.loop.after(SETTLES, lambda: clients.rules.refused(request, clients.loop.now))
