--- a/yewhook/recovery/ramp.py
+++ b/yewhook/recovery/ramp.py
@@ -20,6 +20,7 @@
 LEAST = 0.1  # turns a second, with which a rate begins and under which it ends
 LATE_SPAN, DEMAND_SPAN = 1.0, 2.0  # s
 BEGIN = 0.5  # part of what is warm with which a rate begins, if that is more
+AHEAD = 2.0  # times what is asked for, which is as good as all
 CUT_AGAIN = 1.0  # s after a cut in which what was taken before it may still be late
 OVER_PART = 0.3  # of the bucket that a client beyond its part must leave to others
 RETRY_LEAST, RETRY_MOST = 0.5, 5.0  # s, of advice
@@ -86,7 +87,8 @@
             self.rate = max(self.rate * s.grow**seconds, BEGIN * warm, LEAST)
             if self.rate >= self._beyond * warm:
                 self._beyond *= s.grow**seconds
-        self.rate = min(self.rate, max(LEAST, self._beyond * warm))
+        most = max(self._beyond * warm, LEAST)
+        self.rate = min(self.rate, most, max(LEAST, AHEAD * self._asks(now)))
 
     @property
     def _size(self) -> float:
--- a/yewhook/recovery/recovery.py
+++ b/yewhook/recovery/recovery.py
@@ -19,7 +19,7 @@
 from ..levels.estimators import Share
 from ..levels.turns import Standing as TurnStanding
 from ..levels.turns import Turn
-from .phases import WAITS_FOR, Phase, Sight, Standing
+from .phases import WAITS_FOR, WARM, Phase, Sight, Standing
 from .ramp import LATE_SPAN, Ramp, Rank, rank
 from .settings import RecoverySettings
 from .trust import LIVES, Fact, Kind, Ledger, Source
@@ -89,7 +89,7 @@
         self._servers: dict[int, i.Server] = {}
         self._starts: dict[int, float | None] = {}  # by the register, of workers that the past knows
         self._generation = 0
-        self._generation_back = False
+        self._generation_back = self._register_spoke = False
         self._missed: dict[int, float] = {}  # worker that a new beginning left out -> until when it is kept
         self._routers: dict[int, tuple[float, float]] = {}  # other router -> up since, heard
         self._proven: dict[int, float] = {}  # worker -> since when it warms up, where no list says
@@ -138,6 +138,7 @@
         end workers by leaving them out, and a list from before a drain order does not end that."""
         whole = kind is ListKind.FULL
         back = whole and generation < self._generation
+        self._register_spoke = True
         self._generation = generation if whole else max(generation, self._generation)
         if back:
             self._generation_back = True
@@ -322,9 +323,17 @@
             late=self.ramp.late.at(now) >= self.settings.late,
             fits=self.ramp.fits(now),
             warm=self._warm,
-            alone=self.verdict.scope is Scope.ALONE,
+            alone=self.verdict.scope is Scope.ALONE or self._first_start(now),
         )
 
+    def _first_start(self, now: float) -> bool:
+        """Nothing is known of before, and by the register the fleet has run for long."""
+        if self._past is not None or not self._register_spoke:
+            return False
+        began = [s.started for s in self._servers.values() if s.state is ServerState.RUNNING]
+        cold = sum(at is not None and now - at < self._module.cold_time for at in began)
+        return cold <= (1.0 - WARM) * len(began)
+
     def alive(self) -> Alive:
         """Workers of each role that have shown themselves, to this router or to another one."""
         found = dict.fromkeys(Role, 0)
