Gather the ids of a list once when it is merged, not once for each worker missed

Read again: Recovery.merge built the same set inside two comprehensions, so a list cost the square of its length while workers were missed. The same result; the tests of lists that begin anew hold.

--- a/yewhook/recovery/recovery.py
+++ b/yewhook/recovery/recovery.py
@@ -146,14 +146,14 @@
         held = dict(self._servers)
         if self._past is not None:
             held = {s.id: s for s in self._past.servers} | held
-        named = tuple(self._drained(server, back) for server in servers)
+        named, ids = tuple(self._drained(server, back) for server in servers), {s.id for s in servers}
         kept: tuple[i.Server, ...] = ()
         if back:
-            left = held.keys() - {server.id for server in servers}
+            left = held.keys() - ids
             self._missed = {n: now + MISSED_FOR for n in left if held[n].state is not ServerState.GONE}
+        self._missed = {n: at for n, at in self._missed.items() if n not in ids}
         if whole:
-            kept = tuple(held[n] for n in self._missed if n not in {server.id for server in servers})
-        self._missed = {n: at for n, at in self._missed.items() if n not in {s.id for s in servers}}
+            kept = tuple(held[n] for n in self._missed)
         if whole and self._past is not None:
             # Only what the register says: a list kept from before tells of the starts of before.
             before = {server.id for server in self._past.servers}
