Pass a client's fields on to the worker, Idempotency-Key among them

At fault: http.PASSED_ON named the fields that went on to the worker, and this one was not among them. Now all go on but those of one connection (RFC 9110, 7.6.1) and those that the router words itself. One that stands twice or can't be read is refused like the others that workers act on.

The two tests fail without the change (seen).

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -130,6 +130,23 @@
     assert not p.front.router.lives
 
 
+def test_fields_of_a_request_go_on_to_the_worker_but_those_of_one_connection(p: Platform) -> None:
+    # A worker knows repeats of a request by its Idempotency-Key; without it, each one ran anew.
+    p.play("client send ask Idempotency_Key=k1 X_Own=any Connection=X-Hop X_Hop=no TE=trailers")
+    p.play("reader expect {\"stream\":true}\nreader send read\nwriter expect {\"stream\":true}")
+    for name in ("reader", "writer"):
+        head = p.parties[name].heard.partition("\r\n\r\n")[0].lower().split("\r\n")[1:]
+        fields = dict(line.split(": ", 1) for line in head)
+        assert len(fields) == len(head)
+        assert (fields["idempotency-key"], fields["x-own"]) == ("k1", "any")
+        assert (fields["host"], fields["x-txn"], fields["content-length"]) == ("app.svc", "r1", "15")
+        assert not {"connection", "x-hop", "te"} & fields.keys()
+
+
+def test_two_keys_of_one_request_make_no_sense(p: Platform) -> None:
+    p.play("client send ask Idempotency_Key=k1 idempotency_key=k2\nclient expect HTTP/1.1 400")
+
+
 def test_worker_connections_are_kept(p: Platform) -> None:
     # The parser forgets keep-alive once it has returned: each exchange opened a connection of its own.
     end = "writer send stream\nwriter send event text=a\nwriter send last\nwait 0.05"
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -37,7 +37,7 @@
 
 
 # Fields that decide how a request is read or what becomes of it
-ONCE = {"host", "content-length", "transfer-encoding", "x-remaining", *http.PASSED_ON, "x-txn"}
+ONCE = {"content-length", "transfer-encoding", "x-remaining", *http.ACTED_ON, "x-txn"}
 
 
 class BadRequest(Exception):
@@ -60,7 +60,6 @@
 
 
 WORD = re.compile(r"[A-Za-z0-9_-]{1,64}")
-PLAIN = re.compile(r"[ -~]{0,1024}")  # what any worker can read in a head
 TIME = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,9})?)([mu])")
 COUNT = re.compile(r"[0-9]{1,9}")
 
@@ -91,7 +90,7 @@
     request_id = h.get("x-txn", "")
     if not WORD.fullmatch(request_id):
         raise BadRequest(400, "X-Txn: missing or not a word")
-    if odd := next((name for name in ("host", *http.PASSED_ON) if not PLAIN.fullmatch(h.get(name, ""))), ""):
+    if odd := next((name for name in http.ACTED_ON if not http.PLAIN.fullmatch(h.get(name, ""))), ""):
         raise BadRequest(400, f"{odd}: too long, or with characters that are not printable ASCII")
     parts = (part.partition("=") for part in h.get("x-labels", "").split(",") if part)
     labels = {name.strip(): value.strip() for name, _, value in parts}
--- a/yewhook/platform/http.py
+++ b/yewhook/platform/http.py
@@ -10,8 +10,17 @@
     431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
     503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
-# Fields of a client's request that workers are told, besides its id and its time
-PASSED_ON = ("x-lane", "x-org", "x-entity", "x-labels", "x-resent", "content-type")
+# Fields of a client's request that workers act on, besides its id and its time: a request that has one of
+# them twice, or with what no worker can read, makes no sense.
+ACTED_ON = (
+    "host", "x-lane", "x-org", "x-entity", "x-labels", "x-resent", "idempotency-key", "content-type",
+)  # fmt: skip
+# Fields of one connection or of the message's form there (RFC 9110, 7.6.1), or that a router words anew
+OWN = {
+    "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+    "trailer", "transfer-encoding", "upgrade", "expect", "content-length", "x-txn", "x-remaining",
+}  # fmt: skip
+PLAIN = re.compile(r"[ -~]{0,1024}")  # what any worker can read in a head
 BODY_LIMIT = 256 * 1024
 HEAD_LIMIT = 32 * 1024
 EVENT_LIMIT = 64 * 1024  # a worker sends an event every few tokens
@@ -24,6 +33,13 @@
     return value.rstrip(b" \t").decode("latin-1")
 
 
+def end_to_end(headers: dict[str, str]) -> dict[str, str]:
+    """The fields of a client's request that go on to the worker: all that are not of one connection. A worker
+    may go by any of them; by `Idempotency-Key` it knows repeats of a request."""
+    named = {name.strip().lower() for name in headers.get("connection", "").split(",")}
+    return {n: v for n, v in headers.items() if n not in OWN and n not in named and PLAIN.fullmatch(v)}
+
+
 def head(start: str, headers: dict[str, str]) -> bytes:
     lines = [start, *(f"{name}: {value}" for name, value in headers.items())]
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -333,14 +333,12 @@
 
     def send(self, request_id: str, attempt: int, server: int, call: object, timeout: float) -> None:
         assert isinstance(call, Call)
-        fields = {
-            "Host": call.headers.get("host", "worker"),
+        fields = {"host": "worker", "content-type": "application/json"} | http.end_to_end(call.headers)
+        fields |= {
             "X-Txn": request_id,
             "X-Remaining": f"{max(1, round(timeout * 1e6))}u",
-            "Content-Type": call.headers.get("content-type", "application/json"),
             "Content-Length": str(len(call.body)),
         }
-        fields |= {name: call.headers[name] for name in http.PASSED_ON if name in call.headers}
         start = f"{call.method.decode('latin-1')} {call.target.decode('latin-1')} HTTP/1.1"
         request = http.head(start, fields) + call.body
         exchange = AttemptExchange(self, request_id, attempt)
