--- a/yewhook/backoff.py
+++ b/yewhook/backoff.py
@@ -9,17 +9,19 @@
 from random import Random
 
 FIRST, MOST = 0.05, 0.25  # s for each router of the tier: together they ask 20 times a s at first, then 4
-LONGEST = 15.0  # s that one router waits at the most, however many there are
+# s that a router waits on average, however many there are: the first time, and later. What is missed counts
+# as told 6 s after it could be heard, so with its spread no wait may come near to that.
+FIRST_LONGEST, LONGEST = 1.0, 2.5
 SOON = 0.3  # s
 SPREAD = 0.8  # part of a wait by which it is longer or shorter
 
 
 class Backoff:
-    """Waits that double from one failure to the next, so long that all routers together ask no oftener than a
-    few would. Each is drawn anew, for routers that failed together would else come back together."""
+    """Waits that double from one failure to the next, the longer the more routers there are, as far as a list
+    may be late. Each is drawn anew, for routers that failed together would else come back together."""
 
     def __init__(self, routers: int, random: Random) -> None:
-        self._first, self._most = min(FIRST * routers, LONGEST), min(MOST * routers, LONGEST)
+        self._first, self._most = min(FIRST * routers, FIRST_LONGEST), min(MOST * routers, LONGEST)
         self._random = random
         self.begin()
 
--- a/yewhook/platform/front.py
+++ b/yewhook/platform/front.py
@@ -25,6 +25,7 @@
     from ..recovery.keeper import Keeper
 
 WORD = b"P"  # with which other routers' words for the recovery begin; the module's begin with others
+FIRST_WORD = 0.25  # s that a process waits for discovery's first word; while that is down, none comes
 
 
 class PlatformFront(RouterFront):
@@ -54,6 +55,7 @@
         self.workers = HttpWorkers(pool, config.names.columns, self.registry, self.releases.release)
         self.recovery = keeper.recovery if keeper is not None else None
         self.route(self.workers, config.seed)
+        self._resumed, self._began = handed is not None, loop.now
         generation = self._resume(handed) if handed is not None else self._begin()
         self.peers: Peers | None = None
         if config.settings.may_tell and config.peer_listen and config.peers_all:
@@ -135,6 +137,12 @@
         self.pool.keep_only(self.registry.in_use())
         self.router.listed(kind, servers)
 
+    @property
+    def able(self) -> bool:
+        """Only discovery's word is new enough: what it has counts as told from a process's first moment."""
+        heard = self.watch.answered or self._resumed or self.loop.now - self._began >= FIRST_WORD
+        return heard and super().able
+
     @property
     def register_age(self) -> float:
         return self.loop.now - self.watch.heard
