Read what crosses an end: last answers, closing connections, clients that left, repeats

- Service._break_off ended all that was open, and _stop followed 0.2 s later: a request that came meanwhile was taken, sent on and lost.
Now the front refuses what comes (ClientConnections.end).
- Service._finish went by requests and connections; a connection that was being ended (Channel.finish) was neither, so the process could end with its last answer in the kernel, and bytes of the client's that nobody had read reset it.
Now it waits for them (loop.finishing).
- Acceptor.stop closed the listener over what waited to be accepted: reset.
Now that is accepted first.
- With a deadline of 1.2 s and two routers the last moment came at 2.0 s, and the kill comes at 1.9 s: LAST_TAKEN went by the number of routers alone, _thin_out began after 1 s at the soonest.
Both are bounded by the grace.
- ClientConnections._sweep ended a resting connection over a request that had come since the turn's look at the sockets.
- Channel.finish left a connection that was paused unwatched: closed over unread bytes 1 s later.
- A client that had asked and closed was read once a turn: its request was decided on, and sent on a kept connection, before its end was read.
Accepted connections are read until nothing is left, 8 times a turn at most.
- Router._move cut a stream whose end had come and was not read yet.
Its worker's connection is read once more first.
- WorkerConnection._heard took any byte for a sign of life: a stream that trickled kept its client waiting for ever.
Now events count.
- A repeat by key was weighed against its window when it was decided; its connection may take 0.25 s more.
Now it is given 0.1 s in the module, and the core lets a connection come up only inside the window (and inside the grace of a drain).

Checked and sound: requests of clients that left go from the module's heaps; one that leaves at an attempt's end gets no further one.

--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -47,6 +47,7 @@
 READ_TIMEOUT = (1.0, 4.0)  # s, and times the expected read
 WRITE_TIMEOUT = (2.0, 6.0)  # s, and times the expected wait for a first token
 RETRY_RATIO, RETRY_CAP = 0.5, 20.0  # retry budget: earned by each arrival, and its size
+ON_ITS_WAY = 0.1  # s that a repeat may take to a server: one that comes after its window is no repeat
 STATE_HOLD = 0.6  # part of the release limit for which a state may wait for a writer
 RETRY_AFTER, LAST_CALL = (0.2, 0.8), 0.1  # s; advice to refused clients, spread; time kept for the answer
 ERROR_RATE, MOVE_SHARE = 0.4, 0.34  # error rate that ejects; part of our streams that a silent server moves
@@ -641,7 +642,7 @@
         cls, ran = self.s.classes[req.ev.cls], req.ran
         if cls.effect is Effect.SAFE or not ran:
             return True
-        if cls.effect is Effect.UNSAFE or now - ran[0].sent > cls.dedup_window:
+        if cls.effect is Effect.UNSAFE or now - ran[0].sent > cls.dedup_window - ON_ITS_WAY:
             return False
         first = ran[0].server.info
         same = w.info.zone == first.zone if cls.group is Group.ZONE else w.info.cell == first.cell
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -25,7 +25,7 @@
         heard: tuple[list[int], list[str]] = ([], [])
 
         class Heard:
-            unfinished = False
+            unfinished, told = False, 0
 
             def begun(self, status: int, headers: dict[str, str]) -> None:
                 heard[0].append(status)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -97,13 +97,18 @@
         self.released: list[str] = []
         self.forgotten: list[int] = []
 
-    def send(self, request_id: str, attempt: int, server: int, call: object, timeout: float) -> None:
+    def send(
+        self, request_id: str, attempt: int, server: int, call: object, timeout: float, begins: float
+    ) -> None:
         self.sent.append((request_id, attempt, server))
 
     def abort(self, request_id: str, attempt: int) -> bool:
         self.aborted.append((request_id, attempt))
         return True
 
+    def catch_up(self, request_id: str, attempt: int) -> None:
+        """Nothing has come that was not told."""
+
     def release(self, request_id: str) -> None:
         self.released.append(request_id)
 
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,292 @@
+"""Where two events cross: on real connections, in the bad order, every time. The tables stand in
+docs/design/crossings.md."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import pytest
+from scenario import Party
+from settings import ENV
+from test_platform import FLEET, SAYINGS, Platform, ask, chunk
+
+from yewhook.channel import Channel
+from yewhook.loop import Timer
+from yewhook.operations.instance import State
+
+NO_RESUME = {"extra": ENV["extra"] | {"resume": False}}  # streams are cut at the last moment only
+
+
+def streaming(p: Platform, request: str = "r1", client: str = "client") -> None:
+    p.play(f"""
+        {client} send ask id={request}
+        reader expect {{"stream":true}}
+        reader send read
+        writer expect {{"stream":true}}
+        writer send stream
+        writer send event text=one
+        {client} expect "one"
+    """)
+
+
+# ---- a client that has gone ----
+
+
+@pytest.mark.parametrize("body", ['{"stream":true}', "x" * 200_000])
+@pytest.mark.parametrize("reset", [False, True])
+def test_a_client_that_asked_and_left_before_it_was_read_gets_no_attempt(
+    p: Platform, body: str, reset: bool
+) -> None:
+    # Its request was read in one turn and sent on, and its end was read in the next one.
+    streaming(p)  # so that a connection to the reader is kept
+    p.play("writer send last\nclient expect 0\nwait 0.1")
+    client = p.parties["client"]
+    client.begin(socket.create_connection(client.address))
+    p.turn()  # accepted, and nothing has come yet
+    size = 0
+    data = ask("r2", body=body)
+    while size < len(data):  # the router's turns make room in the kernel for all but the last part
+        assert client.sock is not None
+        size += client.sock.send(data[size : size + 32768])
+        if size < len(data):
+            p.turn()
+    client.close(reset=reset)
+    p.wait(0.2)
+    assert "r2" not in p.parties["reader"].heard.replace("reservations/r2", "")
+    assert not p.front.router.lives and not p.front.router._module.requests
+
+
+def test_a_client_that_left_while_its_connection_waited_to_be_accepted_gets_no_attempt(p: Platform) -> None:
+    p.play("client send ask\nclient close\nwait 0.3")
+    assert "POST" not in p.parties["reader"].heard
+
+
+def test_a_client_that_leaves_in_the_moment_of_an_attempts_end_gets_no_further_one(p: Platform) -> None:
+    p.play("""
+        client send ask
+        reader expect {"stream":true}
+        reader send read
+        client close
+        wait 0.3
+    """)
+    assert "POST" not in p.parties["writer"].heard
+
+
+def test_what_a_client_that_left_had_waiting_leaves_the_modules_heaps(p: Platform) -> None:
+    module = p.front.router._module
+    for n in range(3):
+        p.play(f"c{n} send ask id=r{n}\nwait 0.02")
+    for n in range(3):
+        p.play(f"c{n} close\nwait 0.02")
+    assert not module.requests and not module.held
+    named = [entry[-1] for entry in module.by_cst] + [entry[-1] for entry in module.by_lift]
+    assert not any(request.held for request in named)
+
+
+# ---- the end of a process ----
+
+
+def leaving(p: Platform) -> None:
+    """Go on to the state in which nothing new is accepted."""
+    if p.service.instance.state is State.READY:
+        p.sigterm()
+    p.until(lambda: p.service.instance.state.value == "leaving", "leaving")
+
+
+def test_a_request_that_comes_after_the_last_answers_is_refused_and_not_sent_on(p: Platform) -> None:
+    # For 0.2 s more it was taken and sent to a worker, and then the process was gone.
+    streaming(p)
+    p.sigterm()
+    p.wait(1.8)
+    half, late = ask("r2"), Party(p.parties["client"].address)
+    p.parties["late"] = late
+    late.send(half[:-2])
+    leaving(p)
+    while not p.parties["client"].ended:  # until the stream is moved, up to 0.2 s before the last moment
+        p.play("writer send event text=on") if not p.parties["writer"].ended else None
+        p.wait(0.05)
+    p.wait(0.25)
+    with contextlib.suppress(OSError):
+        late.send(half[-2:])
+    p.play("late expect HTTP/1.1 503\nlate expect closed\nwait 0.4")
+    assert p.service.loop.stopped and p.parties["reader"].heard.count("POST") == 1
+
+
+def test_a_resting_connection_is_not_closed_over_a_request_that_has_just_come(p: Platform) -> None:
+    # It came between the turn's look at the sockets and the sweep of what is due, and was not answered.
+    p.play("client send get path=/healthz\nclient expect ok")
+    p.wait(9.9)
+    sweep, sent = p.front.clients._sweep, list[bool]()
+
+    def arrive_then_sweep() -> None:
+        if not sent:
+            p.parties["client"].send(SAYINGS["get"](path="/healthz"))
+            sent.append(True)
+            p.clock.now += 0.2  # it has rested for long enough
+            p.service.loop.now = p.clock.now
+        sweep()
+
+    Timer(p.service.loop).set(0.05, arrive_then_sweep)
+    p.play("wait 0.1\nclient expect 200 OK")
+
+
+def test_what_waits_to_be_accepted_when_the_listener_closes_is_answered(p: Platform) -> None:
+    # The kernel resets what nobody has accepted.
+    streaming(p)
+    stop, came = p.front._acceptor.stop, list[object]()
+
+    def come_then_stop() -> None:
+        if not came:
+            came.append(p.play("late send ask id=r2\nsecond send get path=/healthz"))
+        stop()
+
+    p.front._acceptor.stop = come_then_stop  # type: ignore[method-assign]
+    leaving(p)
+    p.play("reader expect X-Txn: r2\nlate close\nsecond expect HTTP/1.1 503\nsecond expect closed")
+
+
+def test_a_process_stays_until_its_last_answer_is_taken(p: Platform) -> None:
+    # It ended as soon as the answer was handed to the kernel; bytes of the client's that nobody had read then
+    # reset the connection, and the answer was lost.
+    streaming(p)
+    leaving(p)
+    client = p.parties["client"]
+    client.poll = lambda: None  # type: ignore[method-assign]
+    p.play("writer send event text=two\nwriter send last\nwait 0.2")
+    assert client.sock is not None and not p.service.loop.stopped
+    client.sock.send(ask("r2"))  # crosses the router's end
+    p.wait(0.2)
+    del client.poll
+    p.play('client expect data: "two"\nclient expect 0\nclient expect closed\nclient close\nwait 0.1')
+    assert p.service.loop.stopped and "r2" not in p.parties["reader"].heard
+
+
+def test_a_connection_that_is_ended_while_it_is_not_read_is_read_to_its_end(p: Platform) -> None:
+    # After a request that made no sense it is not read for a while; closed like that, its answer was reset.
+    p.play("client send ask lane=unknown\nclient expect HTTP/1.1 400")
+    connection = next(iter(p.front.clients.connections))
+    assert connection.channel.paused
+    p.play("client send ask id=r2")
+    connection.hang_up()
+    p.wait(0.05)
+    assert not connection.channel.unread and "POST" not in p.parties["reader"].heard
+    p.play("client expect closed")
+
+
+def test_a_stream_that_its_worker_has_finished_is_passed_on_whole_at_the_last_moment() -> None:
+    # Its end had come in the moment in which the stream was cut.
+    p = Platform(FLEET, env=NO_RESUME)
+    streaming(p)
+    cut, sent = p.front.router.break_off, list[object]()
+
+    def end_then_cut() -> None:
+        if not sent:
+            sent.append(p.play("writer send event text=two\nwriter send last"))
+        cut()
+
+    p.front.router.break_off = end_then_cut  # type: ignore[method-assign]
+    leaving(p)
+    while not sent:
+        p.play("writer send event text=on\nwait 0.1")
+    p.play('client expect data: "two"\nclient expect 0\nclient expect closed')
+    p.end()
+
+
+@pytest.mark.parametrize("patience", [0.3, 0.8, 1.2, 12.0])
+@pytest.mark.parametrize("routers", [1, 2, 4, 200])
+def test_the_last_moment_comes_before_the_kill_however_short_deadlines_are(
+    patience: float, routers: int
+) -> None:
+    # With a deadline of 1.2 s and two routers it came after 2 s, and the platform kills after 1.9 s.
+    classes = [c | {"give-up-ms": 1000 * patience} for c in ENV["classes"]]
+    p = Platform(FLEET, routers=routers, env={"classes": classes})
+    streaming(p)
+    p.sigterm()
+    kill = p.clock.now + min(3.0, patience) + 0.7
+    while p.clock.now < kill and not p.service.loop.stopped:
+        p.play("writer send event text=on\nwait 0.1") if not p.parties["writer"].ended else p.wait(0.05)
+    assert p.service.loop.stopped
+    p.play("client expect closed")
+    assert "0\r\n\r\n" not in p.parties["client"].heard
+    p.end()
+
+
+# ---- streams ----
+
+
+@pytest.mark.parametrize("trickle", ["part text=x", "part text=:|", "event"])
+def test_a_stream_that_goes_on_and_says_nothing_is_broken_off(p: Platform, trickle: str) -> None:
+    # Bytes alone passed for a sign of life: the client waited for as long as they came.
+    streaming(p)
+    for _ in range(30):
+        if p.parties["writer"].ended:
+            break
+        p.parties["writer"].send(chunk(": still here\n\n") if trickle == "event" else chunk("x"))
+        p.wait(0.1)
+    p.play("client expect closed")
+
+
+def test_a_stream_whose_events_come_slowly_goes_on(p: Platform) -> None:
+    streaming(p)
+    for n in range(4):
+        p.play(f'wait 2\nwriter send event text=e{n}\nclient expect data: "e{n}"')
+    p.play("writer send last\nclient expect 0")
+
+
+# ---- repeats ----
+
+KEYED = {"effect": "by_key", "dedup-window-ms": 1000.0, "group": "all"}
+
+
+@pytest.fixture
+def keyed() -> Iterator[Platform]:
+    classes = [c | KEYED for c in ENV["classes"]]
+    platform = Platform({"one": "mixed", "two": "mixed"}, env={"classes": classes})
+    yield platform
+    platform.end()
+
+
+def first_of(p: Platform) -> tuple[str, str]:
+    p.until(lambda: any("stream" in p.parties[n].text for n in ("one", "two")), "an attempt")
+    first = "one" if "stream" in p.parties["one"].text else "two"
+    return first, "two" if first == "one" else "one"
+
+
+@pytest.mark.parametrize(("after", "again"), [(0.5, True), (0.95, False), (1.2, False)])
+def test_a_request_known_by_its_key_is_repeated_only_inside_its_window(
+    keyed: Platform, after: float, again: bool
+) -> None:
+    keyed.play("client send ask")
+    first, second = first_of(keyed)
+    keyed.play(f"wait {after}\n{first} reset\nwait 0.3")
+    assert ("POST" in keyed.parties[second].heard) is again
+    if not again:
+        keyed.play("client expect HTTP/1.1 503")
+
+
+def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_written(
+    keyed: Platform, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The window was looked at when the repeat was decided; its connection may take 0.25 s more.
+    keyed.play("client send ask")
+    first, second = first_of(keyed)
+    late: list[Channel] = []
+    ready = Channel._ready
+
+    def slowly(self: Channel, mask: int) -> None:
+        """A connection that comes up late: it stays connecting until the test lets it on."""
+        if self._connecting and not late:
+            late.append(self)
+        if self not in late:
+            ready(self, mask)
+        else:
+            self.loop.watch(self._sock, 0, self._ready)
+
+    keyed.wait(0.85)
+    monkeypatch.setattr(Channel, "_ready", slowly)
+    keyed.play(f"{first} reset\nwait 0.2")
+    assert late and late[0].closed  # given up at the window's end, 0.25 s being allowed otherwise
+    assert "POST" not in keyed.parties[second].heard
+    keyed.play("client expect HTTP/1.1 503")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 from itertools import pairwise
+from typing import Any
 
 import pytest
 from scenario import Party, Play
@@ -69,10 +70,12 @@
 
 
 class Platform(Play):
-    def __init__(self, fleet: dict[str, str], routers: int = 1, heard: bool = True) -> None:
-        """`heard` = the router has waited for discovery's first word."""
+    def __init__(
+        self, fleet: dict[str, str], routers: int = 1, heard: bool = True, env: dict[str, Any] | None = None
+    ) -> None:
+        """`heard` = the router has waited for discovery's first word; `env` = settings that are other."""
         super().__init__(SAYINGS | {"list": self.listed})
-        settings, names = translate(ENV | {"instances": routers})
+        settings, names = translate(ENV | {"instances": routers} | (env or {}))
         self.fleet = dict(fleet)  # a test may add to it
         self.parties = {name: Party() for name in fleet} | {"discovery": Party(keeps=True)}
         self.config = config = Config(
--- a/yewhook/channel.py
+++ b/yewhook/channel.py
@@ -11,6 +11,9 @@
 
 READ_SIZE = 65536
 READ_OFF = 16  # reads a turn of what a peer still sends after our last word, which nobody needs
+# Reads a turn of an accepted connection: as many as the largest request takes, and one that finds its end.
+# Whoever has asked and gone is known to be gone before anything is done for the request.
+READ_ACCEPTED = 8
 FLUSH, LINGER = 10.0, 1.0  # s to write what is left, and then for the peer to close too
 
 
@@ -61,8 +64,8 @@
         return len(self._out)
 
     @property
-    def stale(self) -> bool:
-        """Whether an idle connection has been ended by its peer, or has bytes that nobody asked for."""
+    def unread(self) -> bool:
+        """Whether bytes, or the peer's end, wait to be read; an idle connection is no good then."""
         try:
             self._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -88,7 +91,9 @@
         if self.closed or self._finishing:
             return
         self._finishing, self.paused = True, False
+        self.loop.finishing += 1
         self._timer.set(FLUSH, self.abort)
+        self._watch()  # what the peer still sends is read: closing over it would take our last word along
         if not self._out:
             self._end_sending()
 
@@ -102,6 +107,7 @@
             self._out.clear()
             self.loop.sockets -= 1
             self.loop.accepted -= self._accepted
+            self.loop.finishing -= self._finishing
 
     def _watch(self) -> None:
         if self.closed:
@@ -122,13 +128,18 @@
                 self._watch()
             return None
         if mask & selectors.EVENT_READ:
-            reads = READ_OFF if self._finishing else 1
-            while reads and self._receive():
+            reads = READ_OFF if self._finishing else READ_ACCEPTED if self._accepted else 1
+            while reads and not self.paused and self._receive():
                 reads -= 1
         if mask & selectors.EVENT_WRITE and not self.closed and self._out:
             self._flush()
         return None
 
+    def catch_up(self) -> None:
+        """Hear what has come so far, though its turn is not yet."""
+        if not (self.closed or self.paused or self._connecting or self._finishing):
+            self._receive()
+
     def _receive(self) -> bool:
         """Read once; whether there may be more."""
         try:
@@ -143,7 +154,7 @@
             return False
         if not self._finishing:
             self.owner.received(data)
-        return not self.closed and len(data) == READ_SIZE
+        return not self.closed and (self._accepted or len(data) == READ_SIZE)
 
     def _flush(self) -> None:
         if not self._out or self._unwritable:
--- a/yewhook/core/ports.py
+++ b/yewhook/core/ports.py
@@ -32,12 +32,18 @@
 class Workers(Protocol):
     """The way to the workers. What comes of an attempt is told to the core, once, by `Router.ended`."""
 
-    def send(self, request_id: str, attempt: int, server: int, call: object, timeout: float) -> None:
-        """Send one attempt; `call` is what the front handed in with the request."""
+    def send(
+        self, request_id: str, attempt: int, server: int, call: object, timeout: float, begins: float
+    ) -> None:
+        """Send one attempt; `call` is what the front handed in with the request, `begins` the s in which its
+        first byte must be on its way, or it never may."""
 
     def abort(self, request_id: str, attempt: int) -> bool:
         """Abandon an attempt; nothing more is told of it. Whether its last byte had been written."""
 
+    def catch_up(self, request_id: str, attempt: int) -> None:
+        """Tell what has come of an attempt by now, before it is ended."""
+
     def release(self, request_id: str) -> None:
         """Let go of all that is held for the request, at any worker."""
 
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import traceback
 from collections.abc import Callable
 from functools import partial
@@ -25,6 +26,7 @@
 T = TypeVar("T")
 ANSWER_GRACE = 0.02  # s after its deadline at which a request that the module left open is answered
 FORGET = 30.0  # s after which a server that is gone is forgotten: no rule and no request reaches back as far
+DRAIN_LEAST = 0.05  # s that a connection has to come up at the least, where no grace is granted at a drain
 LET_GO = 0.8  # part of the release limit after which the core lets go of what the module forgot
 
 
@@ -290,7 +292,7 @@
         life.stage = Stage.ATTEMPT_OUT
         self._deadlines.cancel(life.let_go)
         attempt.timer = self._deadlines.set(self._clock() + timeout, lambda: self._timed_out(life, attempt))
-        self.workers.send(act.id, number, act.server, life.call, timeout)
+        self.workers.send(act.id, number, act.server, life.call, timeout, self._begins_within(life))
 
     def _forbidden(self, life: Life, server: int) -> str:
         if life.stage is not Stage.DECIDING:
@@ -307,13 +309,30 @@
             return "the server drains or is gone"
         if life.effect is i.Effect.UNSAFE and self._may_have_run(life):
             return "it may have run already"
+        if self._may_have_run(life) and self._window_left(life) <= 0:
+            return "its window for repeats is over"
         return ""
 
+    def _begins_within(self, life: Life) -> float:
+        """s in which an attempt must be on its way, however long a connection may take to come up: a server
+        told to drain meanwhile gets nothing later, and a repeat after its window runs anew."""
+        drain = max(DRAIN_LEAST, self.settings.drain_grace)
+        return min(drain, self._window_left(life) if self._may_have_run(life) else drain)
+
+    def _window_left(self, life: Life) -> float:
+        """s in which a request of its class that may have run may go out again."""
+        sent = min(a.sent for a in life.attempts if self._ran(a))
+        window = self.settings.classes[life.arrived.cls].dedup_window
+        return sent + window - self._clock() if life.effect is i.Effect.KEYED else math.inf
+
     @staticmethod
-    def _may_have_run(life: Life) -> bool:
+    def _ran(attempt: Attempt) -> bool:
         """An attempt at a reader has no effect; any other may have run unless its ending rules that out."""
-        others = [a for a in life.attempts if not a.reads]
-        return any(a.ending is None or not OUTCOMES[a.ending].never_ran for a in others)
+        never = attempt.ending is not None and OUTCOMES[attempt.ending].never_ran
+        return not attempt.reads and not never
+
+    def _may_have_run(self, life: Life) -> bool:
+        return any(self._ran(a) for a in life.attempts)
 
     def _refuse(self, act: i.Refuse) -> None:
         if life := self.lives.get(act.id):
@@ -345,7 +364,11 @@
 
     def _move(self, act: i.MoveStream) -> None:
         life = self.lives.get(act.id)
-        if life is not None and life.stage is Stage.STREAMING:
+        if life is None or life.stage is not Stage.STREAMING:
+            return
+        if life.out is not None:  # its worker may have finished it, and the end not been read yet
+            self.workers.catch_up(life.id, life.out.number)
+        if life.unended:
             self._end(life, Ending.MOVED, lambda: life.client.break_off(Ending.MOVED))
 
     def _set_timer(self, act: i.SetTimer) -> None:
--- a/yewhook/front.py
+++ b/yewhook/front.py
@@ -30,7 +30,7 @@
 # s after the order to end in which a router still takes what comes, where streams can go on elsewhere: the
 # fewer others there are, the likelier that just now none of them serves. What is left of the grace is enough
 # for an answer to begin and for its stream to be moved.
-LAST_TAKEN = 1.5
+LAST_TAKEN = 1.5  # and never over half of the grace
 ROOM_STEP = 32  # idle connections closed at a time when sockets run out
 IDLE_LEAST = 2.0  # s that a connection is left open on which nothing is asked, however short room is
 CLOSING_EVERY, CLOSING_IDLE = 0.1, 0.1  # s between looks while idle connections are closed; s of idleness
@@ -44,6 +44,10 @@
     def idle(self) -> bool:
         """Whether nothing is asked on it, and nothing is on its way."""
 
+    @property
+    def unread(self) -> bool:
+        """Whether something has come on it that has not been read."""
+
     def hang_up(self) -> None: ...
 
 
@@ -57,6 +61,7 @@
         self.loop, self._idle_most = loop, idle_most
         self.connections: set[K] = set()
         self.posture = Posture(healthy=True, accepting=True, keeping=True, closing=False)
+        self.ending = False  # nothing that comes now could be finished any more: it is refused
         self._sweeping = Timer(loop)
         self._sweep()
 
@@ -74,7 +79,15 @@
         self._sweep()
 
     def _idle(self, least: float) -> list[K]:
-        return [c for c in self.connections if c.idle and self.loop.now - c.idle_since >= least]
+        """Those on which nothing has been asked for so long; a request that has just come is read first."""
+        resting = [c for c in self.connections if c.idle and self.loop.now - c.idle_since >= least]
+        return [c for c in resting if not c.unread]
+
+    def end(self) -> None:
+        """Refuse what still comes: the process is about to go."""
+        self.ending = True
+        for connection in self._idle(0.0):
+            connection.hang_up()
 
     def _sweep(self) -> None:
         """While they are closed, one that has just been opened has a moment for its request to come."""
@@ -95,6 +108,9 @@
 
     def pause(self, paused: bool) -> None: ...
 
+    def catch_up(self) -> None:
+        """Hear what has come of it so far."""
+
 
 O = TypeVar("O", bound=Out)  # noqa: E741
 
@@ -126,6 +142,10 @@
         out = self._out.pop((request_id, attempt), None)
         return out is not None and out.give_up()
 
+    def catch_up(self, request_id: str, attempt: int) -> None:
+        if (out := self._out.get((request_id, attempt))) is not None:
+            out.catch_up()
+
     def release(self, request_id: str) -> None:
         self._release(request_id)
 
@@ -149,7 +169,8 @@
     ) -> None:
         self.loop, self._settings = loop, settings
         self.grace = min(GRACE_MOST, max(c.patience for c in settings.classes))
-        self.lasts = LAST_TAKEN / max(1, settings.instances - 1) if settings.may_resume else 0.0
+        others = max(1, settings.instances - 1)
+        self.lasts = min(LAST_TAKEN, self.grace / 2) / others if settings.may_resume else 0.0
         self.registry = Registry(names, time.monotonic() - time.time(), loop.log)
         self.releases = Releases(loop, ask, latest, self.registry.running)
         self._governor: Governor | None = None
@@ -231,6 +252,7 @@
         self.router.thin_out(part)
 
     def break_off(self) -> None:
+        self._clients.end()
         self.router.break_off()
 
     def close(self) -> None:
--- a/yewhook/jsonrpc.py
+++ b/yewhook/jsonrpc.py
@@ -101,7 +101,7 @@
     def __init__(self, loop: Loop, handler: Handler) -> None:
         self.loop, self.handler = loop, handler
         self.channel: Channel
-        self.up = False
+        self.up, self._up_within = False, 0.0  # s that a connection of ours may take
         self.address: Address = ("", 0)
         self.idle_since = 0.0
         self.open: set[Id] = set()  # the peer's requests that wait for their answer
@@ -117,6 +117,7 @@
         peer = cls(loop, handler)
         peer.address = address
         peer.channel = Channel.connect(loop, address, peer)
+        peer._up_within = timeout
         peer._timer.set(timeout, peer._drop)
         return peer
 
@@ -128,6 +129,11 @@
         peer.channel = Channel(loop, sock, peer)
         return peer
 
+    def hurry(self, within: float) -> None:
+        """Give up a connection that is not up in so many s, though it may take longer otherwise."""
+        if not self.up and within < self._up_within:
+            self._timer.set(within, self._drop)
+
     def _drop(self) -> None:
         """Close now, and say so to all who wait."""
         self.channel.abort()
@@ -138,6 +144,10 @@
         """Whether the peer has nothing open, and nothing on its way."""
         return not self.open and not self._rest
 
+    @property
+    def unread(self) -> bool:
+        return self.channel.unread
+
     @property
     def written(self) -> bool:
         return self.up and not self.channel.unsent
--- a/yewhook/loop.py
+++ b/yewhook/loop.py
@@ -34,6 +34,7 @@
         self.now = clock()
         self.sockets = 0  # open ones that this process holds, as their owners count them
         self.accepted = 0  # those of them that others have opened
+        self.finishing = 0  # those of them whose last bytes are still on their way
         self._selector = selectors.DefaultSelector()
         self._first: set[int] = set()  # files that are heard before all others
 
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -134,6 +134,10 @@
     def idle(self) -> bool:
         return self.call is None and self.serving is None and not self.waiting
 
+    @property
+    def unread(self) -> bool:
+        return self.channel.unread
+
     @property
     def standing(self) -> Standing:
         if self.serving is not None or self.waiting:
@@ -144,7 +148,7 @@
 
     def give_way(self) -> None:
         """Close at once, unless a request has just come; waiting for the client to close keeps the place."""
-        if not self.channel.stale:
+        if not self.unread:
             self._gone()
             self.channel.abort()
 
@@ -169,9 +173,9 @@
         self._timer.set(ARRIVE, self._late)
 
     def too_late(self) -> None:
-        """A request that comes this late in a drain is not taken any more: what never arrived never ran."""
+        """What has not arrived whole by now is not taken any more: what never arrived never ran."""
         if self.call is not None:
-            self._reject(BadRequest(503, "draining; trying again is harmless"))
+            self._reject(BadRequest(503, "ending; trying again is harmless"))
             self._next()
 
     def _late(self) -> None:
@@ -269,6 +273,8 @@
                 self._answer(404, "no such path")
             elif call.method != b"POST":
                 self._answer(405, "POST only", {"Allow": "POST"})
+            elif self.front.ending:
+                self._answer(503, "ending; trying again is harmless")
             else:
                 self._take(call)
 
@@ -410,5 +416,12 @@
     def _sweep(self) -> None:
         super()._sweep()
         if self.loop.now - self._drained_at >= LAST_ARRIVALS:
-            for connection in list(self.connections):
-                connection.too_late()
+            self._take_no_halves()
+
+    def end(self) -> None:
+        super().end()
+        self._take_no_halves()
+
+    def _take_no_halves(self) -> None:
+        for connection in list(self.connections):
+            connection.too_late()
--- a/yewhook/platform/reservations.py
+++ b/yewhook/platform/reservations.py
@@ -15,6 +15,7 @@
     """The exchange of one DELETE."""
 
     unfinished = False
+    told = 0
 
     def __init__(self, done: Done) -> None:
         self._done, self._status = done, 0
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -31,6 +31,8 @@
 class Exchange(Protocol):
     """What is asked of a worker on one connection."""
 
+    told: int  # events of a running stream so far
+
     @property
     def unfinished(self) -> bool:
         """Whether a part of the answer has come that makes no sense without what is still to come."""
@@ -86,6 +88,11 @@
         self.up = True
         self._timer.cancel()
 
+    def hurry(self, within: float) -> None:
+        """Give up a connection that is not up in so many s, though it may take longer otherwise."""
+        if not self.up and within < self.pool.connect_timeout:
+            self._timer.set(within, self._too_late)
+
     def _too_late(self) -> None:
         self._broken(Ending.CONNECT_SILENT)
 
@@ -95,8 +102,8 @@
     def received(self, data: bytes) -> None:
         if self.exchange is None or self._parser is None:
             return self.close()  # bytes that nobody asked for
-        self._heard = self.pool.loop.now
         if self._in_head:
+            self._heard = self.pool.loop.now
             self._head_size += len(data)
         try:
             self._parser.feed_data(data)
@@ -191,8 +198,11 @@
                 self._watch_stream()
 
     def on_body(self, body: bytes) -> None:
-        if self.exchange is not None and not self._complete:
-            self.exchange.body(body)
+        if (exchange := self.exchange) is not None and not self._complete:
+            told = exchange.told
+            exchange.body(body)
+            if exchange.told > told:  # bytes alone are no sign of life: some answers go on and say nothing
+                self._heard = self.pool.loop.now
 
     def on_chunk_header(self) -> None:
         self._in_chunk = True
@@ -231,6 +241,7 @@
     def __init__(self, workers: HttpWorkers, request_id: str, attempt: int) -> None:
         self.workers, self.request_id, self.number = workers, request_id, attempt
         self.connection: WorkerConnection | None = None
+        self.told = 0
         self._status = 0
         self._headers: dict[str, str] = {}
         self._body = bytearray()
@@ -238,8 +249,9 @@
         self._found = 0
         self._load: i.Load | None = None
 
-    def begin(self, address: Address, request: bytes) -> None:
+    def begin(self, address: Address, request: bytes, within: float) -> None:
         self.connection = self.workers.pool.ask(address, self, request)
+        self.connection.hurry(within)
 
     def give_up(self) -> bool:
         if self.connection is None:
@@ -252,6 +264,10 @@
         if self.connection is not None:
             self.connection.channel.pause(paused)
 
+    def catch_up(self) -> None:
+        if self.connection is not None:
+            self.connection.channel.catch_up()
+
     @property
     def unfinished(self) -> bool:
         return self._events.unfinished
@@ -280,6 +296,7 @@
             event = event.lstrip(b"\r\n")
         if not event:
             return
+        self.told += not event.startswith(b":")
         if b'"usage"' in event:
             self._found = cached(event) or self._found
         self.workers.told.event(self.request_id, self.number, event)
@@ -331,7 +348,9 @@
         super().__init__(pool.loop, registry, release)
         self.pool, self.columns = pool, columns
 
-    def send(self, request_id: str, attempt: int, server: int, call: object, timeout: float) -> None:
+    def send(
+        self, request_id: str, attempt: int, server: int, call: object, timeout: float, begins: float
+    ) -> None:
         assert isinstance(call, Call)
         fields = {"host": "worker", "content-type": "application/json"} | http.end_to_end(call.headers)
         fields |= {
@@ -342,4 +361,4 @@
         start = f"{call.method.decode('latin-1')} {call.target.decode('latin-1')} HTTP/1.1"
         request = http.head(start, fields) + call.body
         exchange = AttemptExchange(self, request_id, attempt)
-        self.begin(exchange, server, lambda address: exchange.begin(address, request))
+        self.begin(exchange, server, lambda address: exchange.begin(address, request, begins))
--- a/yewhook/pool.py
+++ b/yewhook/pool.py
@@ -48,7 +48,7 @@
         while rested:
             connection = rested.pop()
             self.forget(connection)
-            if not connection.channel.closed and not connection.channel.stale:
+            if not connection.channel.closed and not connection.channel.unread:
                 return connection
             connection.close()
         if not self._room() and not self._make_room():
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -24,6 +24,7 @@
 KILLED_AFTER = 0.7  # s after the grace at which the platform may kill what still runs
 THIN_OUT = 0.1  # s between looks at the streams that still run, a part of which is moved at each
 LAST_MOMENT = 0.4  # s before that at which all that is still open is ended in good order
+LAST_BYTES = 0.3  # s of that moment in which the last answers may still be on their way
 ABLE_EVERY, ABLE_MOST = 0.02, 1.0  # s between looks for a first list; s after which it serves without one
 BACKLOG = 4096  # connections that may wait; one that finds no place comes again after 1 s at the soonest
 ACCEPT_AT_ONCE, ACCEPT_AGAIN = 64, 0.05  # connections a turn; s until a full process tries again
@@ -91,6 +92,10 @@
         loop.watch(listener, selectors.EVENT_READ, self._accept)
 
     def _accept(self, mask: int) -> None:
+        self._accept_some()
+
+    def _accept_some(self) -> bool:
+        """Take what waits, so many at a time; whether there may be more."""
         for _ in range(ACCEPT_AT_ONCE):
             if not self._room():
                 self._make_room()
@@ -100,17 +105,18 @@
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
-                return None
+                return False
             except OSError as error:
                 self._loop.log("accept failed", str(error))
                 return self._later()
             self._accepted(sock)
-        return None
+        return True
 
-    def _later(self) -> None:
+    def _later(self) -> bool:
         """Leave what waits in the kernel's queue for a while; tried at once, it would keep the loop busy."""
         self._loop.watch(self._listener, 0, self._accept)
         self._again.set(ACCEPT_AGAIN, self._go_on)
+        return False
 
     def _go_on(self) -> None:
         self._loop.watch(self._listener, selectors.EVENT_READ, self._accept)
@@ -125,6 +131,9 @@
     def stop(self) -> None:
         """Take nothing any more: new connections are refused, unless another process has the socket, too."""
         if not self._closed:
+            more = not self._paused
+            while more:  # what waits in the kernel's queue would be reset
+                more = self._accept_some()
             self.pause(True)
             self._closed = True
             self._listener.close()
@@ -239,13 +248,14 @@
             self._settled.set(wait, lambda: self.hear(Event.SETTLED))
         if event is Event.TERM:
             grace = max((front.grace for front in self.fronts), default=0.0)
-            self._end_at = self.loop.now + grace + KILLED_AFTER - LAST_MOMENT
-            self.loop.after(max(2 * KEEP_ACCEPTING, lasts + KEEP_ACCEPTING), self._thin_out)
+            whole = grace + KILLED_AFTER - LAST_MOMENT
+            self._end_at = self.loop.now + whole
+            self.loop.after(min(whole, max(2 * KEEP_ACCEPTING, lasts + KEEP_ACCEPTING)), self._thin_out)
         if after is State.LEAVING:
             self._finish()
 
     def _finish(self) -> None:
-        if any(front.busy for front in self.fronts):
+        if any(front.busy for front in self.fronts) or self.loop.finishing:
             return self.loop.after(0.02, self._finish)
         return self._stop()
 
@@ -270,4 +280,4 @@
         """The platform kills what still runs; a stream broken off first can go on at another router."""
         for front in self.fronts:
             front.break_off()
-        self.loop.after(LAST_MOMENT / 2, self._stop)
+        self.loop.after(LAST_BYTES, self._stop)
--- a/yewhook/toolcalls/clients.py
+++ b/yewhook/toolcalls/clients.py
@@ -106,6 +106,10 @@
     def idle_since(self) -> float:
         return self.peer.idle_since
 
+    @property
+    def unread(self) -> bool:
+        return self.peer.unread
+
     def hang_up(self) -> None:
         self.peer.hang_up()
 
@@ -114,6 +118,8 @@
             return peer.result(request_id, {})
         if method != "chat/completions":
             raise RpcError(Code.METHOD_NOT_FOUND, f"unknown method {method!r}")
+        if self.front.ending:
+            raise RpcError(Code.REFUSED, "ending; trying again is harmless")
         arrived = understand(params, self.front.names, secrets.token_hex(8))
         exchange = self.exchanges[request_id] = Exchange(self, request_id, arrived.id)
         self.front.router.accept(arrived, exchange, params)
--- a/yewhook/toolcalls/workers.py
+++ b/yewhook/toolcalls/workers.py
@@ -39,9 +39,10 @@
         self._heard = workers.loop.now
         self._streaming = False
 
-    def begin(self, address: Address, params: dict[str, Any]) -> None:
+    def begin(self, address: Address, params: dict[str, Any], within: float) -> None:
         """Raises OSError where there is no connection."""
         self.peer = peer = self.workers.pool.take(address)
+        peer.hurry(within)
         peer.handler = self
         self.asked = peer.ask("chat/completions", params, self._replied)
 
@@ -143,6 +144,10 @@
         if self.peer is not None:
             self.peer.channel.pause(paused)
 
+    def catch_up(self) -> None:
+        if self.peer is not None:
+            self.peer.channel.catch_up()
+
     def _drop_calls(self, reason: str) -> None:
         calls, self._calls = self._calls, {}
         for call in calls.values():
@@ -166,11 +171,13 @@
         super().__init__(loop, registry, release)
         self.pool, self.tools, self.columns, self.silence = pool, tools, columns, silence
 
-    def send(self, request_id: str, attempt: int, server: int, call: object, timeout: float) -> None:
+    def send(
+        self, request_id: str, attempt: int, server: int, call: object, timeout: float, begins: float
+    ) -> None:
         assert isinstance(call, dict)
         params = call | {"requestId": request_id, "remainingMs": max(1, round(timeout * 1000))}
         out = WorkerAttempt(self, request_id, attempt)
-        self.begin(out, server, lambda address: out.begin(address, params))
+        self.begin(out, server, lambda address: out.begin(address, params, begins))
 
 
 def let_go(pool: PeerPool, address: Address, request_id: str, done: Done) -> Callable[[], None]:
--- a/yewlab/fleet.py
+++ b/yewlab/fleet.py
@@ -183,7 +183,9 @@
         self.fleet, self.router = fleet, router
         self._out: dict[tuple[str, int], Out] = {}
 
-    def send(self, request_id: str, attempt: int, server: int, call: object, timeout: float) -> None:
+    def send(
+        self, request_id: str, attempt: int, server: int, call: object, timeout: float, begins: float
+    ) -> None:
         ask: Asked = call  # type: ignore[assignment]
         box = self.fleet.boxes[server]
         reads = box.server.engine.role is Role.READER
@@ -272,6 +274,9 @@
             out.box.server.drop(out.job)
         return True  # its last byte had been written at once
 
+    def catch_up(self, request_id: str, attempt: int) -> None:
+        """What a worker says is heard in the moment in which it arrives."""
+
     def release(self, request_id: str) -> None:
         def arrive() -> None:
             box = self.fleet.states.get(request_id)
