Know a request whose last byte was never written as one that never ran

Read: Channel.abort cleared what was still to be written before WorkerConnection.lost asked for it, so Ending.BROKEN_UNSENT could not come about once a connection was up: a request broken off half written passed for one that may have run, and an unsafe one failed. The bytes are dropped with the channel now. The test writes to a worker that reads nothing, through a small send buffer, and fails without the change (seen: 502 in place of another server).

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -56,6 +56,7 @@
         self.listener = None if address else socket.create_server(("127.0.0.1", 0))
         self.address: tuple[str, int] = address or self.listener.getsockname()  # type: ignore[union-attr]
         self.sock: socket.socket | None = None
+        self.unread = False  # whether it leaves in the kernel what it is sent
         self.keeps, self.earlier = keeps, list[socket.socket]()
         self.text, self.heard = "", ""  # what is not expected yet; all, on all connections
         self.ended, self.connections = False, 0
@@ -73,7 +74,7 @@
                 pass
             else:
                 self.begin(sock)
-        if self.sock is None or self.ended:
+        if self.sock is None or self.ended or self.unread:
             return
         try:
             data = self.sock.recv(1 << 20)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -237,6 +237,38 @@
 
 # ---- repeats ----
 
+
+@pytest.mark.parametrize("how", ["reset", "close"])
+def test_an_unsafe_request_whose_last_byte_was_never_written_goes_to_another_server(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # What was still to be written was dropped before anybody asked whether anything was: the attempt passed
+    # for one that may have run, and the request failed.
+    ready = Channel._ready
+
+    def small(self: Channel, mask: int) -> None:
+        if self._connecting:  # else the kernel would take all of it on our side
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        ready(self, mask)
+
+    monkeypatch.setattr(Channel, "_ready", small)
+    p = Platform({"one": "mixed", "two": "mixed"})
+    for name in ("one", "two"):
+        listener = p.parties[name].listener
+        assert listener is not None
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        p.parties[name].unread = True  # it takes no byte of what it is sent
+    p.play("client send ask lane=service-log body=" + "x" * 260_000)
+    p.until(lambda: any(p.parties[n].connections for n in ("one", "two")), "a connection")
+    first, second = ("one", "two") if p.parties["one"].connections else ("two", "one")
+    p.wait(0.05)
+    out = next(iter(p.front.workers._out.values())).connection
+    assert out is not None and out.channel.unsent
+    p.parties[second].unread = False
+    p.play(f"{first} {how}\n{second} expect x-lane: service-log")
+    p.end()
+
+
 KEYED = {"effect": "by_key", "dedup-window-ms": 1000.0, "group": "all"}
 
 
--- a/yewhook/channel.py
+++ b/yewhook/channel.py
@@ -61,6 +61,7 @@
 
     @property
     def unsent(self) -> int:
+        """Bytes that were not handed to the kernel; on a closed connection, that never will be."""
         return len(self._out)
 
     @property
@@ -104,7 +105,6 @@
             self._timer.cancel()
             self.loop.watch(self._sock, 0, self._ready)
             self._sock.close()
-            self._out.clear()
             self.loop.sockets -= 1
             self.loop.accepted -= self._accepted
             self.loop.finishing -= self._finishing
