--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -40,3 +40,17 @@
 def test_ci_runs_the_test_command_that_the_readme_names() -> None:
     assert "make lint test" in (ROOT / "README.md").read_text()
     assert "make lint test" in (ROOT / ".ci" / "run").read_text()
+
+
+def test_the_page_of_crossings_names_tests_that_are_there() -> None:
+    tests = "".join(path.read_text() for path in (ROOT / "tests").rglob("test_*.py"))
+    functions, files = re.findall(r"def (test_\w+)", tests), {p.stem for p in (ROOT / "tests").rglob("*.py")}
+    named = re.findall(r"\btest_\w+", (ROOT / "docs" / "design" / "crossings.md").read_text())
+    assert len(named) > 40
+    for name in named:
+        assert name in files or any(function.startswith(name.rstrip("_")) for function in functions), name
+
+
+def test_what_a_bench_lays_beside_a_site_is_never_committed() -> None:
+    ignored = {Path(line).name for line in (ROOT / ".gitignore").read_text().splitlines()}
+    assert {"real.json", "wire.json", "unlock.txt"} <= ignored
--- a/yewhook/cli.py
+++ b/yewhook/cli.py
@@ -132,6 +132,7 @@
     toolcalls: Annotated[Path | None, typer.Option(help="A tool-calls file.")] = None,
     fleet: Annotated[Path | None, typer.Option(help="A fleet file, with all that it names.")] = None,
     settings: Annotated[Path | None, typer.Option("--service", help="An operators' file.")] = None,
+    site: Annotated[Path | None, typer.Option(help="A customer's site file.")] = None,
 ) -> None:
     """Read configuration files and say what they hold: those named, else the one of PROXY_CONFIG."""
     try:
@@ -150,7 +151,13 @@
             file_levels = read_settings(settings).levels
             used = ", ".join(level.label for level in file_levels.known)
             typer.echo(f"{settings}: levels of service are {file_levels.mode.value}: {used}")
-        if toolcalls is None and fleet is None and settings is None:
+        if site is not None:
+            from .sites import read as read_site
+
+            told = read_site(site)
+            classes = ", ".join(f"{c.name} {c.effect} {c.deadline:g} s" for c in told.classes)
+            typer.echo(f"{site}: {classes}; {len(told.tenants)} tenants")
+        if not any((toolcalls, fleet, settings, site)):
             config = read_config(os.environ)
             known = len(config.known.get("instances") or [])
             typer.echo(f"{config.name}: listens on {_place(config.listen)}, {known} known workers")
