Read a first request that comes as its time ends; prove that a drain stops a late connection

Read: ClientConnection._late closed a connection on which nothing had been asked, or refused a request as late, over bytes that had come since the turn's look at the sockets. Now they are read first. The test forces that order and fails without the change (seen). A server told to drain while a connection to it is coming up: the test fails with WorkerConnection.hurry taken out (seen).

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,6 +15,7 @@
 from yewhook.channel import Channel
 from yewhook.loop import Timer
 from yewhook.operations.instance import State
+from yewhook.platform.clients import ClientConnection
 
 NO_RESUME = {"extra": ENV["extra"] | {"resume": False}}  # streams are cut at the last moment only
 
@@ -132,6 +133,27 @@
     p.play("wait 0.1\nclient expect 200 OK")
 
 
+def test_a_first_request_that_comes_as_its_time_ends_is_read(p: Platform) -> None:
+    # A connection on which nothing had come for 2.2 s was closed over what came after the look.
+    client = p.parties["client"]
+    client.begin(socket.create_connection(client.address))
+    p.wait(2.1)
+    late, sent = ClientConnection._late, list[bool]()
+
+    def arrive_then_late(self: ClientConnection) -> None:
+        if not sent:
+            client.send(SAYINGS["get"](path="/healthz"))
+            sent.append(True)
+        late(self)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(ClientConnection, "_late", arrive_then_late)
+        connection = next(iter(p.front.clients.connections))
+        connection._timer.set(0.05, connection._late)
+        p.play("wait 0.2\nclient expect 200 OK")
+    assert sent
+
+
 def test_what_waits_to_be_accepted_when_the_listener_closes_is_answered(p: Platform) -> None:
     # The kernel resets what nobody has accepted.
     streaming(p)
@@ -286,6 +308,38 @@
     return first, "two" if first == "one" else "one"
 
 
+def come_up_late(monkeypatch: pytest.MonkeyPatch) -> list[Channel]:
+    """The next connection that a router opens does not come up any more; it is put into the list."""
+    late: list[Channel] = []
+    ready = Channel._ready
+
+    def slowly(self: Channel, mask: int) -> None:
+        if self._connecting and not late:
+            late.append(self)
+        if self not in late:
+            ready(self, mask)
+        else:
+            self.loop.watch(self._sock, 0, self._ready)
+
+    monkeypatch.setattr(Channel, "_ready", slowly)
+    return late
+
+
+def test_nothing_is_written_to_a_server_told_to_drain_whose_connection_comes_up_late(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The grace was looked at when the attempt was decided; its connection may take 0.25 s more.
+    p = Platform(FLEET, env={"contract": ENV["contract"] | {"stop-sending-within-ms": 100.0}})
+    p.play("discovery expect GET\ndiscovery send watch\nwait 0.1")
+    late = come_up_late(monkeypatch)
+    p.play("client send ask")
+    p.until(lambda: bool(late), "a connection that is coming up")
+    p.play("discovery send list name=reader state=draining\nwait 0.13")
+    assert late[0].closed and not p.parties["reader"].heard
+    p.play("client expect HTTP/1.1 503")
+    p.end()
+
+
 @pytest.mark.parametrize(("after", "again"), [(0.5, True), (0.95, False), (1.2, False)])
 def test_a_request_known_by_its_key_is_repeated_only_inside_its_window(
     keyed: Platform, after: float, again: bool
@@ -304,20 +358,8 @@
     # The window was looked at when the repeat was decided; its connection may take 0.25 s more.
     keyed.play("client send ask")
     first, second = first_of(keyed)
-    late: list[Channel] = []
-    ready = Channel._ready
-
-    def slowly(self: Channel, mask: int) -> None:
-        """A connection that comes up late: it stays connecting until the test lets it on."""
-        if self._connecting and not late:
-            late.append(self)
-        if self not in late:
-            ready(self, mask)
-        else:
-            self.loop.watch(self._sock, 0, self._ready)
-
     keyed.wait(0.85)
-    monkeypatch.setattr(Channel, "_ready", slowly)
+    late = come_up_late(monkeypatch)
     keyed.play(f"{first} reset\nwait 0.2")
     assert late and late[0].closed  # given up at the window's end, 0.25 s being allowed otherwise
     assert "POST" not in keyed.parties[second].heard
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -28,6 +28,7 @@
 TRANSIT = 0.001  # s taken off a client's time for the way of its request and of our answer
 PIPELINE = 4  # requests that may wait on one connection behind the one in hand
 ARRIVE = 2.2  # s for a request to arrive whole; for a connection's first one from when it was accepted
+ARRIVE_MOMENT = 0.02  # s more where something waits to be read just then
 IDLE_MOST = 10.0  # s for which a connection is kept on which nothing is asked
 LAST_ARRIVALS = 1.4  # s of a drain, once new connections end, in which a request may still arrive whole
 PENALTY = 0.5  # s in which a connection is not read again after a request that made no sense
@@ -179,6 +180,8 @@
             self._next()
 
     def _late(self) -> None:
+        if self.unread:  # it has come in this very turn
+            return self._timer.set(ARRIVE_MOMENT, self._late)
         if self.call is None:
             return self.hang_up()  # nothing has been asked on it
         self._reject(BadRequest(408, "the request took too long to arrive"))
