--- a/tests/processes/test_hard_cases.py
+++ b/tests/processes/test_hard_cases.py
@@ -42,14 +42,10 @@
             self.stage.clients.stopped = True
             yield lambda: not self.stage.clients.open
 
-        play = Play(self.loop)
         self.operators.begin()
-        end = self.loop.now + MOST
-        play.start(whole())
-        while play.running and self.loop.now < end:
-            self.stage.run(self.loop.now + 0.05)
+        done = Play(self.loop).whole(self.stage, whole(), MOST)
         tally, count = self.stage.clients.tally, self.operators.count
-        assert not play.running, self.operators.story
+        assert done, self.operators.story
         assert self.stage.rules.broken == []
         assert tally.requests == tally.answered_once + tally.lost_with_process > 0
         assert (tally.unread, count.held, count.late_yes) == (0, 0, 0)
--- a/tests/processes/test_rare_moments.py
+++ b/tests/processes/test_rare_moments.py
@@ -40,15 +40,10 @@
             clients.stopped = True
             yield lambda: not clients.open
 
-        play = Play(self.loop)
         self.operators.begin()
-        end = self.loop.now + MOST
-        play.start(whole())
-        while play.running and self.loop.now < end:
-            self.stage.run(self.loop.now + 0.05)
-        tally = clients.tally
+        done, tally = Play(self.loop).whole(self.stage, whole(), MOST), clients.tally
         ready = sum(way.healthy for way in clients.ways)
-        assert not play.running, (ready, clients.open, tally.requests)
+        assert done, (ready, clients.open, tally.requests)
         assert self.stage.rules.broken == []
         assert tally.requests == tally.answered_once > 0 and not tally.lost_with_process
         for instance in self.stage.instances:
--- a/yewlab/processes/operate.py
+++ b/yewlab/processes/operate.py
@@ -69,6 +69,14 @@
         self.running += 1
         self._next(script)
 
+    def whole(self, stage: Stage, script: Waits, most: float) -> bool:
+        """Run one script on a stage to its end; whether that came within so many s."""
+        end = self._loop.now + most
+        self.start(script)
+        while self.running and self._loop.now < end:
+            stage.run(self._loop.now + 0.05)
+        return not self.running
+
     def _next(self, script: Waits) -> None:
         try:
             wait = next(script)
