Refuse limits too small to serve with, naming file, key, value and expectation

Seen by reading: limits.sockets = 8 left room for no client at all (Room: 8 - OWN_FILES), without a word; a text was 'invalid literal', and what was wrong in the settings did not name the file. Three cases of test_a_bad_configuration_is_one_plain_line, which fail without it.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -93,6 +93,9 @@
         ({"settings": {}}, "at least one request class"),
         ({"settings": 3}, "expected an object with 'settings'"),
         ({"seed": "xyz"}, "invalid literal"),
+        ({"limits": {"sockets": 8}}, "limits.sockets = 8: expected a number of at least 32"),
+        ({"limits": {"memory_mb": "all"}}, "limits.memory_mb = 'all': expected a number of at least 16"),
+        ({"settings": {}}, "config.json: settings: "),
     ],
 )
 def test_a_bad_configuration_is_one_plain_line(
--- a/yewhook/config.py
+++ b/yewhook/config.py
@@ -33,6 +33,7 @@
 
 
 MOST_SOCKETS, MOST_MEMORY_MB = 1024, 192  # whatever more the platform would allow
+LEAST_SOCKETS, LEAST_MEMORY_MB = 32, 16  # with fewer descriptors no client gets in; with less it can't start
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +68,15 @@
     return host, int(port)
 
 
+def _limit(path: str, limits: Mapping[str, Any], key: str, least: int, most: int) -> int:
+    """A limit of the platform's, as far as it is used; none given = the most."""
+    if (value := limits.get(key)) is None:
+        return most
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < least:
+        raise ConfigError(f"{path}: limits.{key} = {value!r}: expected a number of at least {least}")
+    return min(int(value), most)
+
+
 def _descriptor(text: str) -> int:
     """A descriptor that the process has inherited."""
     if not text.isdigit():
@@ -147,7 +157,10 @@
     if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
         raise ConfigError(f"{path}: expected an object with 'settings'")
     env = raw["settings"]
-    settings, known_names = translate(env)
+    try:
+        settings, known_names = translate(env)
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}") from error
     caps = env.get("caps") or {}
     told = environ.get("PROXY_DISCOVERY")
     discovery = (raw.get("discovery") or told) if again else (told or raw.get("discovery"))
@@ -162,8 +175,8 @@
             settings=settings,
             names=known_names,
             limits=Limits(
-                min(int(limits.get("sockets") or MOST_SOCKETS), MOST_SOCKETS),
-                min(int(limits.get("memory_mb") or MOST_MEMORY_MB), MOST_MEMORY_MB) << 20,
+                _limit(path, limits, "sockets", LEAST_SOCKETS, MOST_SOCKETS),
+                _limit(path, limits, "memory_mb", LEAST_MEMORY_MB, MOST_MEMORY_MB) << 20,
             ),
             connect_timeout=float(caps.get("connect-timeout-ms") or 250.0) / 1000.0,
             idle_limit=float(caps.get("conn-idle-ms") or 30000.0) / 1000.0,
