Withdraw what is not on its way yet when its server is told to drain

Its grace is 250 ms, and a connection may take as long to come up: a send decided on just before the word came had its first byte out after it. Read: Router.listed left alone what was out at a server that it told the module to drain.

Change: an attempt whose connection is not up when its server is told to drain, or goes, is withdrawn (Ending.SERVER_LEFT, never sent), and the module sends it elsewhere. The test fails without it in core/router.py (seen).

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,3 +15,10 @@
     platform = Platform(FLEET)
     yield platform
     platform.end()
+
+
+@pytest.fixture
+def wide() -> Iterator[Platform]:
+    platform = Platform(FLEET | {"reader2": "prefill", "writer2": "decode"})
+    yield platform
+    platform.end()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -96,6 +96,7 @@
         self.aborted: list[tuple[str, int]] = []
         self.released: list[str] = []
         self.forgotten: list[int] = []
+        self.waiting: set[tuple[str, int]] = set()  # attempts whose connections are not up
 
     def send(
         self, request_id: str, attempt: int, server: int, call: object, timeout: float, begins: float
@@ -109,6 +110,9 @@
     def catch_up(self, request_id: str, attempt: int) -> None:
         """Nothing has come that was not told."""
 
+    def withdraw(self, request_id: str, attempt: int) -> bool:
+        return (request_id, attempt) in self.waiting
+
     def release(self, request_id: str) -> None:
         self.released.append(request_id)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,6 +12,7 @@
 from settings import ENV
 from test_platform import FLEET, SAYINGS, Platform, ask, chunk
 
+from hopshed.interface import ServerState
 from yewhook.channel import Channel
 from yewhook.loop import Timer
 from yewhook.operations.instance import State
@@ -340,6 +341,27 @@
     p.end()
 
 
+@pytest.mark.parametrize("state", ["draining", "removed"])
+def test_an_attempt_that_is_not_on_its_way_when_its_server_is_told_to_drain_goes_elsewhere(
+    wide: Platform, monkeypatch: pytest.MonkeyPatch, state: str
+) -> None:
+    # Its connection came up 0.25 s later, and its first byte went to a server whose grace was over by then.
+    p = wide
+    p.play("discovery expect GET\ndiscovery send watch\nwait 0.1")
+    late = come_up_late(monkeypatch)
+    p.play("client send ask lane=service-log")
+    p.until(lambda: bool(late), "a connection that is coming up")
+    out = next(iter(p.front.workers._out.values()))
+    assert out.connection is not None
+    first = next(n for n in ("reader", "reader2") if p.parties[n].address == out.connection.address)
+    second = "reader2" if first == "reader" else "reader"
+    p.parties["discovery"].send(p.listed(first, state))
+    p.play(f'{second} expect {{"stream":true}}')
+    assert late[0].closed and "POST" not in p.parties[first].heard
+    w = next(w for w in p.front.router._module.workers.values() if w.info.state is not ServerState.RUNNING)
+    assert not w.pending and not w.reads
+
+
 @pytest.mark.parametrize(("after", "again"), [(0.5, True), (0.95, False), (1.2, False)])
 def test_a_request_known_by_its_key_is_repeated_only_inside_its_window(
     keyed: Platform, after: float, again: bool
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -103,13 +103,6 @@
         return chunk(json.dumps(entry) + "\n")
 
 
-@pytest.fixture
-def wide() -> Iterator[Platform]:
-    platform = Platform(FLEET | {"reader2": "prefill", "writer2": "decode"})
-    yield platform
-    platform.end()
-
-
 def begin(words: str = "") -> str:
     return BEGIN.format(words)
 
--- a/yewhook/core/ending.py
+++ b/yewhook/core/ending.py
@@ -30,6 +30,7 @@
     TOOL_TIMED_OUT = auto()  # the worker gave up because a tool did not answer in time
     TOOL_GONE = auto()  # the worker gave up because there is no server for a tool, or it went away
     TOOL_ERROR = auto()  # the worker gave up because a tool answered with an error
+    SERVER_LEFT = auto()  # withdrawn before it was on its way: its server was told to drain, or is gone
     NOT_SENT = auto()  # withheld by the core: a rule forbids it, or the request is over
 
 
@@ -56,6 +57,7 @@
     Ending.TOOL_TIMED_OUT: Outcome.FAILED,
     Ending.TOOL_GONE: Outcome.FAILED,
     Ending.TOOL_ERROR: Outcome.FAILED,
+    Ending.SERVER_LEFT: Outcome.NOT_SENT,
     Ending.NOT_SENT: Outcome.NOT_SENT,
 }
 
--- a/yewhook/core/ports.py
+++ b/yewhook/core/ports.py
@@ -44,6 +44,9 @@
     def catch_up(self, request_id: str, attempt: int) -> None:
         """Tell what has come of an attempt by now, before it is ended."""
 
+    def withdraw(self, request_id: str, attempt: int) -> bool:
+        """Abandon an attempt of which nothing is on its way yet; whether that was so."""
+
     def release(self, request_id: str) -> None:
         """Let go of all that is held for the request, at any worker."""
 
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -119,6 +119,7 @@
         if kind is not i.ListKind.CHANGES:
             gone = (s for n, s in self.servers.items() if n not in named)
             named |= {s.id: s._replace(state=i.ServerState.GONE) for s in gone}
+        left: set[int] = set()  # told so just now
         for server in named.values():
             known = self.servers.get(server.id)
             self.servers[server.id] = server
@@ -126,9 +127,14 @@
                 self._deadlines.set(self._clock() + FORGET, partial(self._forget, server.id))
             if server.state is i.ServerState.RUNNING:
                 self._told_off.pop(server.id, None)
-            else:
-                self._told_off.setdefault(server.id, self._clock())
+            elif server.id not in self._told_off:
+                self._told_off[server.id] = self._clock()
+                left.add(server.id)
         self._facts.append(i.ServersListed(kind, servers))
+        for life in list(self.lives.values()) if left else ():
+            out = life.out
+            if out is not None and out.server in left and self.workers.withdraw(life.id, out.number):
+                self.ended(life.id, out.number, Ending.SERVER_LEFT)
 
     def knowledge(self) -> Knowledge:
         """What the module has learnt, for a successor."""
--- a/yewhook/front.py
+++ b/yewhook/front.py
@@ -111,6 +111,10 @@
     def catch_up(self) -> None:
         """Hear what has come of it so far."""
 
+    @property
+    def on_its_way(self) -> bool:
+        """Whether a byte of it may be on its way."""
+
 
 O = TypeVar("O", bound=Out)  # noqa: E741
 
@@ -146,6 +150,13 @@
         if (out := self._out.get((request_id, attempt))) is not None:
             out.catch_up()
 
+    def withdraw(self, request_id: str, attempt: int) -> bool:
+        out = self._out.get((request_id, attempt))
+        if out is None or out.on_its_way:
+            return False
+        self.abort(request_id, attempt)
+        return True
+
     def release(self, request_id: str) -> None:
         self._release(request_id)
 
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -260,6 +260,10 @@
         self.connection.close()
         return written
 
+    @property
+    def on_its_way(self) -> bool:
+        return self.connection is not None and self.connection.up
+
     def pause(self, paused: bool) -> None:
         if self.connection is not None:
             self.connection.channel.pause(paused)
--- a/yewhook/toolcalls/workers.py
+++ b/yewhook/toolcalls/workers.py
@@ -148,6 +148,10 @@
         if self.peer is not None:
             self.peer.channel.catch_up()
 
+    @property
+    def on_its_way(self) -> bool:
+        return self.peer is not None and self.peer.up
+
     def _drop_calls(self, reason: str) -> None:
         calls, self._calls = self._calls, {}
         for call in calls.values():
--- a/yewlab/fleet.py
+++ b/yewlab/fleet.py
@@ -277,6 +277,10 @@
     def catch_up(self, request_id: str, attempt: int) -> None:
         """What a worker says is heard in the moment in which it arrives."""
 
+    def withdraw(self, request_id: str, attempt: int) -> bool:
+        """Connections here are up at once, so all that is sent is on its way."""
+        return False
+
     def release(self, request_id: str) -> None:
         def arrive() -> None:
             box = self.fleet.states.get(request_id)
