Leave it to the one way out of a life that a life ends once

Read again: Router._move asked whether the life had ended before calling _end, which returns at once where it has. The property made for that goes, too.

--- a/yewhook/core/life.py
+++ b/yewhook/core/life.py
@@ -53,10 +53,6 @@
         """Whether its one answer has not even begun."""
         return self.stage not in (Stage.STREAMING, Stage.ENDED)
 
-    @property
-    def unended(self) -> bool:
-        return self.stage is not Stage.ENDED
-
     @property
     def out(self) -> Attempt | None:
         """The attempt that is out; there is never a second one."""
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -374,8 +374,7 @@
             return
         if life.out is not None:  # its worker may have finished it, and the end not been read yet
             self.workers.catch_up(life.id, life.out.number)
-        if life.unended:
-            self._end(life, Ending.MOVED, lambda: life.client.break_off(Ending.MOVED))
+        self._end(life, Ending.MOVED, lambda: life.client.break_off(Ending.MOVED))
 
     def _set_timer(self, act: i.SetTimer) -> None:
         self._module_timer = self._deadlines.set(
