--- /dev/null
+++ b/hopshed/backlog.py
@@ -0,0 +1,58 @@
+"""What a server that reads has before it, by what all routers say they sent there. No clock, no I/O.
+
+One router of many sends each server a read now and then and sees its queue too rarely to know it: it
+believed the waits of a few busy servers of all the others, refused turns that idle ones would have read, and
+crowded the rest. Each router tells the others of its reads (`hearsay.py`); a server reads first come, first
+served, so what was sent less the time since then is its queue. What is wrong with that (a slow server, words
+that were lost) shows when a read of our own ends, and fades.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from .estimate import Estimate
+
+RATE_MEMORY = 5.0  # s; time constant of the part of its time that a server reads
+EXCESS_GAIN, EXCESS_FADES = 0.5, 2.0  # weight of a wait that the queue does not explain; s in which it fades
+
+
+@dataclass(slots=True)
+class Backlog:
+    """One server's queue of reads, in s of its time."""
+
+    queue: float = 0.0  # at `at`
+    at: float = -math.inf
+    sent: float = 0.0  # all that was ever sent
+    excess: Estimate = field(default_factory=Estimate)  # what reads waited beyond the queue that was believed
+    rate: Estimate = field(default_factory=Estimate)
+
+    def wait(self, now: float) -> float:
+        """How long a read that is sent now has to wait."""
+        return max(0.0, self.queue - (now - self.at)) + self.excess.faded(now, EXCESS_FADES)
+
+    def add(self, work: float, now: float) -> float:
+        """A read is sent there; returns its mark for `read`."""
+        self.queue, self.at = max(0.0, self.queue - (now - self.at)) + work, now
+        self.sent += work
+        self.rate.bump(work / RATE_MEMORY, now, RATE_MEMORY)
+        return self.sent
+
+    def read(self, mark: float, now: float) -> None:
+        """A read has ended: what was sent before it has been read, what came after it has not."""
+        self.queue, self.at = self.sent - mark, now
+
+    def waited(self, wait: float, believed: float, now: float) -> float:
+        """A read waited so long where so much was believed; returns what the queue did not explain."""
+        excess = max(0.0, wait - believed)
+        self.excess.learn(excess, now, EXCESS_GAIN, EXCESS_FADES)
+        return excess
+
+    def told(self, excess: float, now: float) -> None:
+        """Another router waited so much longer than the queue explains."""
+        self.excess = Estimate(max(excess, self.excess.faded(now, EXCESS_FADES)), now)
+
+    def share(self, now: float) -> float:
+        """The part of its time that the server spends on reading, of late."""
+        return self.rate.faded(now, RATE_MEMORY)
--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -14,20 +14,24 @@
 from statistics import median
 from typing import Any
 
-from .hearsay import Hearsay
+from .estimate import Estimate
+from .hearsay import NO_TEXT, Hearsay, Reading, Slow, tag
 from .interface import (
     Action, AttemptEnded, CancelAttempt, ClientGone, Effect, Event, Fail, Group, ListKind, Load, Log,
     MoveStream, Outcome, PeerSaid, Probe, ProbeEnded, Refuse, ReleaseState, RequestArrived, Role, Send,
     ServersListed, ServerState, ServiceLevel, SetTimer, Settings, StreamStarted, Subscribe, Tell, TimerFired,
     WarmRates,
 )
+from .places import Places
+from .popularity import Popularity
 from .quota import Quotas
 from .rendezvous import Rendezvous, rank
-from .state import Attempt, Estimate, Request, Session, Worker, drop_before
+from .slow_start import WORK_MEMORY, SlowStart
+from .state import Attempt, Request, Session, Worker, drop_before
 
 TICK, LOOK_EVERY, LIFT = 0.05, 4, 4.0  # s; ticks between looks over the fleet; wait over CST that lifts
 SESSION_IDLE, ORDERS_KEPT = 60.0, 500  # s unused until sessions and kept texts are dropped; hash orders kept
-FORGET, SEEN_IDLE = 30.0, 300.0  # s until a server that is gone is forgotten; a beginning that comes no more
+FORGET = 30.0  # s until a server that is gone is forgotten
 MEMORY_FULL, UTIL_FLOOR = 0.9, 0.05  # memory share above which a writer has no room; idle reports say little
 SMOOTHING, REPORT_TTL = 0.25, 3.0  # s; moving average over room; age at which a report is as not heard
 LOAD_BOUND = 2.0  # a reader holding over this times the median of our reads is passed over
@@ -38,9 +42,10 @@
 GAIN, SLOW_GAIN, WAIT_DECAY = 0.25, 0.05, 2.0  # weight of a sample in averages; s in which a wait fades
 DRAG_MAX, READ_SHARE = 4.0, 0.3  # most that one stream counts for in drag; reading's part at mixed servers
 LEAVE_GAIN, LEAVE_FADE, LEAVE_SHARE = 0.05, 0.0125, 0.5  # share of clients leaving whose age bounds the aim
-SPARE_HOMES, HOMES_DOUBT = 2, 10.0  # readers beyond its homes that a turn may go to; turns that prove little
-LEAN_LEAST, LEAN_MOST = 0.8, 1.2  # weight as a home: a cell's part of writers over that of readers
+SPARE_HOMES = 2  # readers beyond its homes that a turn may go to
 COMFORT, AIM_MARGIN = 0.6, 0.6  # of the time left, to keep a reader; of the aim; near it many are late
+TOLD_SPARE, TOLD_MARGIN = 4, 0.8  # the two where queues are told
+OTHERS = 1.0  # weight of the time that a read takes from others, against its own
 LIMIT_START, LIMIT_LEAST = 4.0, 1.0  # streams; adaptive concurrency limit, for writers that report nothing
 LIMIT_CUT, LIMIT_NEAR = 0.85, 0.7  # cut when full or slow; grows by one for each limit's worth at .7 of it
 SLOW_START_TOKEN, SLOW_START_MIN = 4.0, 0.3  # a wait so many times the writer's floor, and s, is slow
@@ -52,14 +57,13 @@
 RETRY_AFTER, LAST_CALL = (0.2, 0.8), 0.1  # s; advice to refused clients, spread; time kept for the answer
 ERROR_RATE, MOVE_SHARE = 0.4, 0.34  # error rate that ejects; part of our streams that a silent server moves
 RESUMED_AIMS = 2.0  # aims that a stream which comes back may take to go on
+STRETCH_LEAST, STRETCH_MOST = 0.1, 4.0  # s, expectations that teach nothing; bound of a sample
 DOUBT, DOUBT_FOR = 0.2, 30.0  # error rate (one failure's is more) that puts a server in doubt, and s for it
 EJECT_BASE, EJECT_MAX, EJECT_CAP = 2.0, 6.0, 0.7  # s, doubling; part of a role that may be ejected at once
 SILENT_AFTER, SILENT_WAITS = 0.6, 2.0  # s, and expected waits, without an answer before a probe asks
 SILENT_TIMES, PROBE_FAILS = 3.0, 2  # so long, and a writer is out though it answers probes; lost in a row
 PROBE_EVERY, PAIR_FRESH = 0.8, 0.2  # s; younger reports are not asked for again, of the drawn writers neither
 PROBES_A_TURN, PROBE_BURST = 3.5, 6.0  # budget of probes for load: all routers' sum then follows the traffic
-COLD_SAFETY, COLD_FLOOR, COLD_LEAST = 0.6, 0.3, 2.0  # part of the budget in use; sends a s; bucket
-WORK_MEMORY = 5.0  # s; time constant of the measured rate of work sent to a server
 TELL_WAIT = 0.5  # s; longer waits, if they are far over the common one, are told to the other routers
 WRITING = (Role.WRITER, Role.MIXED)
 LOG_EVERY, ASK_FIRST = 5.0, 0.5  # s between log lines; s until a failed list call is repeated
@@ -83,12 +87,11 @@
         self.room_at, self.chance = 0.0, self.random.random()
         self.waits = {role: Estimate() for role in Role}  # of all a role's servers together
         self.ranks, self.lean = Rendezvous(ORDERS_KEPT), 1.0  # weight of readers, on average
-        self.balances: dict[tuple[str, int], float] = {}
-        self.running, self.streams = dict.fromkeys(Role, 0), dict.fromkeys(Role, 0)  # servers; our streams
+        self.places, self.streams = Places(), dict.fromkeys(Role, 0)  # our streams
+        self.stretch = 1.0  # time to whole turns' first token, over what was expected
         self.service = ServiceLevel()
-        self.took: dict[Role, float] = {}  # what a warm server took from us a second before a loss of all
         self.reading = {role: Estimate() for role in Role}  # servers' time that reads of ours take, s a s
-        self.seen: dict[str, Estimate] = {}  # how often a shared beginning came, fading
+        self.popularity, self.slow_start = Popularity(), SlowStart(settings)
         self.pace = dict.fromkeys(Role, 0.0)  # s a token read; 0 until measured: no refusal on a guess
         self.mean_prompt = self.mean_fresh = 0.0  # mean tokens of a prompt; those that were not kept
         self.context = 0.0  # mean tokens of a request, prompt and answer
@@ -126,17 +129,22 @@
 
     def _told_of(self, ev: PeerSaid, now: float) -> None:
         try:
-            slow = self.hearsay.hear(ev.data, now)
+            word = self.hearsay.hear(ev.data, now)
         except ValueError as error:
             return self.acts.append(Log(f"router {ev.sender} sent {error}"))
-        if slow and (w := self.workers.get(slow[0])) is not None:
-            w.wait, w.wait_at = max(slow[1], self._wait(w, now)), now
+        if isinstance(word, Slow) and (w := self.workers.get(word.server)) is not None:
+            w.backlog.told(word.wait, now)
+            w.wait, w.wait_at = max(word.wait, self._wait(w, now)), now
+        elif isinstance(word, Reading):
+            for w in [self.workers[n] for n in word.servers if n in self.workers]:
+                w.backlog.add(word.work, now)
+                self._keeps(w, word.text, now)
 
     def _level(self, ev: ServiceLevel, now: float) -> None:
         self.service = ev
 
     def _took(self, ev: WarmRates, now: float) -> None:
-        self.took.update(ev.rates)
+        self.slow_start.took.update(ev.rates)
 
     def _listed(self, ev: ServersListed, now: float) -> None:
         if ev.kind is ListKind.FAILED:  # ask again, later each time; the old list stays good meanwhile
@@ -145,7 +153,6 @@
             return
         self.ask_wait = ASK_FIRST
         named = {info.id for info in ev.servers}
-        self.balances.clear()
         for info in ev.servers:
             w = self.workers.get(info.id)
             if w is None:
@@ -153,21 +160,20 @@
                     continue
                 listed = now if ev.kind is ListKind.CHANGES else -math.inf
                 w = self.workers[info.id] = Worker(info, self.s.roles[info.kind], now, listed)
-                w.cold_level = self.random.random() + self.able(w, now)
+                w.cold_level = self.random.random() + self.slow_start.able(w, now)
             elif info.started != w.info.started and info.started is not None:  # a new process
                 w.forget(now)
                 w.info, w.listed = info, now
-                w.cold_level = self.random.random() + self.able(w, now)
+                w.cold_level = self.random.random() + self.slow_start.able(w, now)
                 self.kept = {key: use for key, use in self.kept.items() if key[0] != info.id}
             w.info = info
             w.gone_at = now if info.state is ServerState.GONE else math.inf
         for w in self.workers.values():
             if ev.kind is not ListKind.CHANGES and w.info.id not in named:
                 w.info, w.gone_at = w.info._replace(state=ServerState.GONE), min(now, w.gone_at)
-        alive = [w.role for w in self.workers.values() if w.info.state is ServerState.RUNNING]
-        self.running = {role: alive.count(role) for role in Role}
-        parts = {n: self._balance(w.info.cell, "cell") for n, w in self.workers.items()}
-        self.ranks.servers({n: min(LEAN_MOST, max(LEAN_LEAST, part)) for n, part in parts.items()})
+        self.hearsay.listed(self.workers)
+        self.places.listed(self.workers.values())
+        self.ranks.servers({n: self.places.weight(w) for n, w in self.workers.items()})
         lean = [self.ranks.weights[n] for n, w in self.workers.items() if w.role is Role.READER]
         self.lean = sum(lean) / max(1, len(lean))
 
@@ -187,9 +193,7 @@
         if ev.resumed:  # its stream has begun elsewhere, and a refusal costs all of it; late, only a part
             aim = min(RESUMED_AIMS * aim, ev.patience)
         req = self.requests[ev.id] = Request(ev, tenant, now, now + ev.patience, now + aim)
-        for key in ("", ev.prefix) if ev.prefix else ():  # "" counts all
-            seen = self.seen[key] = self.seen.pop(key, Estimate())  # kept in the order of last use
-            seen.bump(1.0, now, SESSION_IDLE)
+        self.popularity.came(ev.prefix, now)
         req.cst = self.sessions[ev.session].cst if ev.session in self.sessions else 0.0
         self.gap, self.came = self.gap + SLOW_GAIN * (min(now - self.came, COMMON_MAX) - self.gap), now
         self.retries = min(RETRY_CAP, self.retries + RETRY_RATIO)
@@ -214,7 +218,11 @@
         w = a.server
         w.pending.remove(a)
         self._good(w, now)
-        self._learn_wait(w, max(0.0, ev.latency - a.tokens * self.pace[w.role]), now)
+        self._learn_wait(w, max(0.0, ev.latency - a.tokens * self.pace[w.role]), now, a.wait)
+        if a.mark:  # a whole turn
+            w.backlog.read(a.mark, now)
+            ratio = ev.latency * self.stretch / max(a.expected, STRETCH_LEAST)
+            self.stretch += SLOW_GAIN * (min(STRETCH_MOST, ratio) - self.stretch)
         w.floor = min(ev.latency, w.floor * 1.01)
         if ev.latency > max(SLOW_START_MIN, SLOW_START_TOKEN * w.floor):
             self._cut(w)
@@ -240,16 +248,16 @@
             else:
                 self._cut(w)
         elif ev.outcome is Outcome.TIMED_OUT and w.life > a.sent and not a.streaming:
-            self._learn_wait(w, ev.latency, now)  # slow, not silent: others of ours were answered meanwhile
+            self._learn_wait(w, ev.latency, now, a.wait)  # slow, not silent: others were answered
         elif ev.outcome not in (Outcome.CANCELED, Outcome.NOT_SENT):
             still = a.streaming and ev.outcome is Outcome.TIMED_OUT
             self._bad(w, now, still or ev.outcome is Outcome.UNREACHABLE)
             if ev.outcome is Outcome.TIMED_OUT and not a.streaming:
-                self._tell_wait(w, ev.latency, now)
+                self._tell_wait(w, ev.latency - a.wait, now)
             if ev.outcome is Outcome.FAILED and (word := self.hearsay.failed(w.info.id, now)):
                 self.acts.append(Tell(word))
         if ev.outcome is Outcome.CANCELED and not a.streaming:  # it would have waited longer still
-            self._learn_wait(w, max(ev.latency, self._wait(w, now)), now)
+            self._learn_wait(w, max(ev.latency, self._wait(w, now)), now, a.wait)
         req.done = req.done or ev.closed
         if req.done:
             self._drop(req)
@@ -262,22 +270,32 @@
         self._learn_pace(w, fresh, ev.latency)
         self.mean_prompt += SLOW_GAIN * (req.ev.prompt_tokens - self.mean_prompt)
         self.mean_fresh += SLOW_GAIN * (fresh - self.mean_fresh)
-        self._learn_wait(w, max(0.0, ev.latency - fresh * self.pace[w.role]), now)
+        self._learn_wait(w, max(0.0, ev.latency - fresh * self.pace[w.role]), now, a.wait)
+        w.backlog.read(a.mark, now)
         kept = (req.ev.prompt_tokens - a.tokens) / w.hit  # what it should have kept; a flush shows here
         if kept > 0:
             w.hit += GAIN * (min(1.0, ev.note / kept) - w.hit)
         req.state, req.state_since = w, now
         self._remember(req, w, now)
 
+    def _told(self, w: Worker) -> bool:
+        """Whether routers tell one another of their reads there."""
+        return self.hearsay.speaks and w.role is not Role.WRITER
+
     def _wait(self, w: Worker, now: float) -> float:
-        """The wait learnt at w, fading to its role's: one router of many sees each server too rarely."""
+        """Its queue, where routers tell one another of that. Else the wait learnt at w, fading to its role's:
+        one router of many sees each server too rarely."""
+        if self._told(w):
+            return w.backlog.wait(now)
         fresh = math.exp((w.wait_at - now) / WAIT_DECAY)
         return fresh * w.wait + (1 - fresh) * self.waits[w.role].faded(now, self._span())
 
     def _span(self) -> float:
         return min(COMMON_MAX, max(WAIT_DECAY, COMMON_TURNS * self.gap))
 
-    def _learn_wait(self, w: Worker, sample: float, now: float) -> None:
+    def _learn_wait(self, w: Worker, sample: float, now: float, believed: float = 0.0) -> None:
+        if self._told(w):
+            return self._tell_wait(w, w.backlog.waited(sample, believed, now), now)
         wait = self._wait(w, now)
         w.wait, w.wait_at = wait + GAIN * (sample - wait), now
         common = self.waits[w.role]  # bounded, for lost answers must not pass for a crowd
@@ -290,13 +308,6 @@
         if wait > max(TELL_WAIT, COMMON_RISE * common) and (word := self.hearsay.slow(w.info.id, wait, now)):
             self.acts.append(Tell(word))
 
-    def _homes(self, req: Request, count: int, now: float) -> int:
-        """A shared beginning's homes: as many as its part of our turns asks for, so that none fills alone."""
-        if not (seen := self.seen.get(req.ev.prefix or "")):
-            return 1
-        total = self.seen[""].faded(now, SESSION_IDLE)
-        return max(1, round((seen.faded(now, SESSION_IDLE) - 1) / (total + HOMES_DOUBT) * count))
-
     def _learn_pace(self, w: Worker, fresh: float, latency: float) -> None:
         pace = self.pace[w.role]
         if fresh >= SMALL_READ and (not pace or latency / fresh < pace * PACE_OUTLIER):
@@ -309,9 +320,12 @@
         session = self.sessions.pop(req.ev.session, None) or Session()  # kept in the order of last use
         session.reader, session.prompt, session.at = w.info.id, req.ev.prompt_tokens, now
         self.sessions[req.ev.session] = session
-        if req.ev.prefix:
-            self.kept.pop((w.info.id, req.ev.prefix), None)
-            self.kept[(w.info.id, req.ev.prefix)] = Estimate(1.0, now)
+        self._keeps(w, tag(req.ev.prefix) if req.ev.prefix else NO_TEXT, now)
+
+    def _keeps(self, w: Worker, text: str, now: float) -> None:
+        if text != NO_TEXT:  # kept in the order of last use
+            self.kept.pop((w.info.id, text), None)
+            self.kept[(w.info.id, text)] = Estimate(1.0, now)
 
     def _served(self, req: Request, a: Attempt, ev: AttemptEnded) -> None:
         stream = max(0.0, ev.latency - a.first)
@@ -345,9 +359,10 @@
         if load is not None:
             w.load, w.load_at, w.own_at_load, w.since_load = load, now, w.streams, 0
             if w.role is Role.READER and self.tells:
-                self.waits[w.role].learn(self._told(w) * self.pace[w.role], now, COMMON_GAIN, self._span())
+                wait = self._reported(w) * self.pace[w.role]
+                self.waits[w.role].learn(wait, now, COMMON_GAIN, self._span())
 
-    def _told(self, w: Worker) -> float:
+    def _reported(self, w: Worker) -> float:
         """Tokens told to wait at w. A told backlog counts kept text too, so the part not kept is taken."""
         if w.load is None:
             return 0.0
@@ -391,7 +406,9 @@
             return False
         if w.trial and (w.reads + w.streams > 0 or (self.s.may_probe and w.life < w.ejected)):
             return False
-        return req is None or not self._cold(w, now) or self._cold_room(w, now) >= self._weight(req)
+        if req is None or not self.slow_start.cold(w, now):
+            return True
+        return self.slow_start.room(w, self._peers(w), now) >= self._weight(req)
 
     def _peers(self, w: Worker) -> list[Worker]:
         return [p for p in self.workers.values() if p.role is w.role and p.info.state is ServerState.RUNNING]
@@ -410,34 +427,11 @@
         failing = (w.trial or w.errors > DOUBT) and now - w.failed_at < DOUBT_FOR
         return w.role is not Role.READER and (failing or self.hearsay.doubted(w.info.id, now))
 
-    def _cold(self, w: Worker, now: float) -> bool:
-        return self._age(w, now) < self.s.cold_time
-
-    def _age(self, w: Worker, now: float) -> float:
-        return now - (w.info.started if w.info.started is not None else w.listed)
-
-    def able(self, w: Worker, now: float) -> float:
-        """The least part of its capacity that a server has by now; it grows evenly until it is warm."""
-        warm = min(1.0, self._age(w, now) / (self.s.cold_time or 1.0))
-        return self.s.cold_from + (1 - self.s.cold_from) * warm
-
     def _weight(self, req: Request) -> float:
         """A send's work against the mean over classes."""
         seen = [t for t in self.class_tokens if t > 0]
         return max(1.0, self.class_tokens[req.ev.cls] * len(seen) / sum(seen)) if seen else 1.0
 
-    def _cold_room(self, w: Worker, now: float) -> float:
-        """Token bucket: our part of what a cold server can take, by what its warm peers get from us. Where it
-        is under one send, a start by chance lets in the routers whose turn it is, so that the sum holds: as
-        large a part of them at once as it has of its capacity: it is warm before each has had its turn."""
-        peers = [p.work.faded(now, WORK_MEMORY) for p in self._peers(w) if not self._cold(p, now)]
-        warm = sum(peers) / len(peers) if peers else COLD_FLOOR / self.s.instances
-        warm = max(warm, self.took.get(w.role, 0.0))  # where all are cold, no peer tells
-        rate = COLD_SAFETY * self.s.fall_multiple * self.s.cold_from * warm
-        most = max(rate * self.s.fall_window / 2, COLD_LEAST)
-        w.cold_level, w.cold_at = min(w.cold_level + rate * (now - w.cold_at), most), now
-        return w.cold_level
-
     def _room(self, w: Worker, now: float) -> float | None:
         """Free room at a writer: in-flight x (1 - u) / u, less our sends since the report; None = not heard.
 
@@ -461,7 +455,7 @@
         held = LIMIT_START
         if w.load is not None and w.load.memory_share and self.s.memory_tokens and self.context:
             held = max(held, w.load.memory_share * self.s.memory_tokens[w.info.kind] / self.context)
-        mean = self.streams[w.role] / max(1, self.running[w.role])
+        mean = self.streams[w.role] / max(1, self.places.running[w.role])
         return max(w.own_at_load, mean, held / self.s.instances)
 
     def _limit(self, w: Worker) -> float:
@@ -498,8 +492,11 @@
         free = {True: self._free(True, now), False: self._free(False, now) - reading}
         self.room_at = now
         # Reading slows mixed servers' answers, so it is held to a part of their time, all taken together.
-        reads = self.reading[Role.MIXED].faded(now, WORK_MEMORY) * self.s.instances
-        busy = reads / max(1, self.running[Role.MIXED])
+        if self.hearsay.speaks:
+            reads = sum(w.backlog.share(now) for w in self.workers.values() if w.role is Role.MIXED)
+        else:
+            reads = self.reading[Role.MIXED].faded(now, WORK_MEMORY) * self.s.instances
+        busy = reads / max(1, self.places.running[Role.MIXED])
         free[True] *= max(0.0, 1 - busy / READ_SHARE)
         idle = not any(w.reads or w.streams for w in self.workers.values())
         # Part of a place is given by chance, else what is too little for each router stays unused.
@@ -548,7 +545,7 @@
         kept = 0.0
         if session is not None and session.reader == w.info.id:
             kept = min(session.prompt, req.ev.prompt_tokens)
-        elif req.ev.prefix and (w.info.id, req.ev.prefix) in self.kept:
+        elif req.ev.prefix and (w.info.id, tag(req.ev.prefix)) in self.kept:
             kept = req.ev.prefix_tokens
         return max(0.0, req.ev.prompt_tokens - kept * w.hit)
 
@@ -558,8 +555,11 @@
         own = sum(a.tokens for a in w.pending) * pace
         age = w.oldest(now) - (w.pending[0].tokens * pace if w.pending else 0.0)
         wait = max(own, age, self._wait(w, now))
+        if self._told(w):
+            stretch = self.stretch if w.role is Role.MIXED else 1.0
+            return stretch * (wait + self._fresh_tokens(req, w) * pace)
         if w.load is not None and now - w.load_at < REPORT_TTL:
-            wait = max(wait, self._told(w) * pace * math.exp((w.load_at - now) / WAIT_DECAY))
+            wait = max(wait, self._reported(w) * pace * math.exp((w.load_at - now) / WAIT_DECAY))
         return wait + self._fresh_tokens(req, w) * pace
 
     def _reader(self, req: Request, mixed: bool, limit: float, now: float) -> tuple[Worker | None, float]:
@@ -574,15 +574,24 @@
         last = self._last(req)
         order = self.ranks.places(req.ev.prefix or req.ev.session)
         pool.sort(key=lambda w: order[w.info.id])
-        homes = self._homes(req, len(pool), now)
+        homes = self.popularity.homes(req.ev.prefix, len(pool), now)
         pool[:homes] = sorted(pool[:homes], key=lambda w: rank(req.ev.session, w.info.id), reverse=True)
-        pool = pool[: homes + SPARE_HOMES] + [w for w in pool[homes + SPARE_HOMES :] if w is last]
+        told = self._told(pool[0])
+        near = homes + (TOLD_SPARE if told else SPARE_HOMES)
+        pool = pool[:near] + [w for w in pool[near:] if w is last]
         pool.sort(key=lambda w: w is not last)
-        loads = [w.streams if mixed else w.reads for w in pool]
-        bound = LOAD_BOUND * max(1.0, median(loads))
         fetch = 0.0 if mixed else self.waits[Role.WRITER].faded(now, self._span())
-        left = (min((limit - now) * AIM_MARGIN, req.deadline - now) - fetch) * (1 - OVER_MARGIN * req.over)
+        margin = TOLD_MARGIN if told else AIM_MARGIN
+        left = (min((limit - now) * margin, req.deadline - now) - fetch) * (1 - OVER_MARGIN * req.over)
         expected = [self._expected(req, w, now) for w in pool]
+        if told:  # departure: the least cost among them, for a queue that all know is no guess
+            others = OTHERS * self.pace[pool[0].role]
+            fit = [n for n, wait in enumerate(expected) if wait <= left]
+            cost = {n: expected[n] + others * self._fresh_tokens(req, pool[n]) for n in fit}
+            best = min(fit, key=cost.__getitem__, default=-1)
+            return (pool[best], expected[best] / left) if fit and left > 0 else (None, math.inf)
+        loads = [w.streams if mixed else w.reads for w in pool]
+        bound = LOAD_BOUND * max(1.0, median(loads))
         for w, wait, load in zip(pool, expected, loads, strict=True):
             if wait <= COMFORT * left and load <= bound:
                 return w, wait / left if left > 0 else 0.0
@@ -600,29 +609,19 @@
         pool = self.pool(Role.WRITER, now, req) or self.pool(Role.MIXED, now, req)
         pool = self._roomy(pool, now) or pool
         if home is not None:
-            cell, zone = self._balance(home.info.cell, "cell"), self._balance(home.info.zone, "zone")
+            cell, zone = self.places.cell(home), self.places.zone(home)
             cell *= self.lean / self.ranks.weights.get(home.info.id, 1.0)
             draw = self.random.random()
             inside = [w for w in pool if w.info.zone == home.info.zone]
             if draw < cell:
                 near = [w for w in inside if w.info.cell == home.info.cell]
             elif draw < zone:
-                near = [w for w in inside if self._balance(w.info.cell, "cell") > 1]
+                near = [w for w in inside if self.places.cell(w) > 1]
             else:
-                near = [w for w in pool if self._balance(w.info.zone, "zone") > 1]
+                near = [w for w in pool if self.places.zone(w) > 1]
             pool = near or inside or pool
         return self.random.sample(pool, 2) if len(pool) > 1 else pool
 
-    def _balance(self, place: int, of: str) -> float:
-        """A cell's or zone's part of all writers over its part of all readers, from the list alone."""
-        if (of, place) not in self.balances:
-            alive = [w for w in self.workers.values() if w.info.state is ServerState.RUNNING]
-            here = [w.role for w in alive if (w.info.cell if of == "cell" else w.info.zone) == place]
-            readers = here.count(Role.READER) * self.running[Role.WRITER]
-            writers = here.count(Role.WRITER) * self.running[Role.READER]
-            self.balances[of, place] = writers / readers if readers else math.inf
-        return self.balances[of, place]
-
     def _writer(self, req: Request, now: float) -> Worker | None:
         """Of two random writers the one with fewer of our streams. Departure: where load is told they are
         drawn and probed when the read begins, and their room decides: we have hardly a stream at each."""
@@ -656,7 +655,12 @@
         timeout = min(least + times * expect, max(0.05, req.deadline - now))
         if req.attempts and req.attempts[-1].outcome is not Outcome.READ:
             self.retries -= 1
-        a = Attempt(w, read, now, fresh)
+        a = Attempt(w, read, now, fresh, expect)
+        if self._told(w) and not fetches:
+            work = fresh * self.pace[w.role]
+            a.wait, a.mark = w.backlog.wait(now), w.backlog.add(work, now)
+            if word := self.hearsay.reading(w.info.id, work, req.ev.prefix, self.random.random()):
+                self.acts.append(Tell(word))
         req.attempts.append(a)
         w.book(a)
         self.streams[w.role] += not read
@@ -749,7 +753,7 @@
                 self._further(req, now)
         drop_before(self.sessions, now - SESSION_IDLE)
         drop_before(self.kept, now - SESSION_IDLE)
-        drop_before(self.seen, now - SEEN_IDLE)
+        self.popularity.fade(now)
         self._forget(now)
         if self.timer % LOOK_EVERY == 0:
             self._probes(now)
--- a/hopshed/handover.py
+++ b/hopshed/handover.py
@@ -9,8 +9,9 @@
 from dataclasses import dataclass, fields
 
 from .control import Controller
+from .estimate import Estimate
 from .interface import Role
-from .state import Estimate, Session
+from .state import Session
 
 SESSIONS_MOST, KEPT_MOST = 20_000, 20_000  # the latest; each is some 60 bytes
 REMINDED = ("wait", "wait_at", "floor", "limit", "hit", "drag")  # of a server, after this one's own restart
@@ -70,7 +71,7 @@
         work={n: w.work for n, w in c.workers.items()},
         sessions=list(c.sessions.items())[-SESSIONS_MOST:],
         kept=[(n, key, used) for (n, key), used in list(c.kept.items())[-KEPT_MOST:]],
-        seen=list(c.seen.items()),
+        seen=list(c.popularity.seen.items()),
         waits=c.waits,
         pace=c.pace,
         paced=c.paced,
@@ -93,7 +94,7 @@
             for field in fields(Learnt):
                 setattr(worker, field.name, getattr(learnt, field.name))
             worker.work = known.work.get(number, Estimate())
-    c.sessions, c.seen = dict(known.sessions), dict(known.seen)
+    c.sessions, c.popularity.seen = dict(known.sessions), dict(known.seen)
     c.kept = {(number, key): used for number, key, used in known.kept}
     c.waits, c.pace = c.waits | known.waits, c.pace | known.pace
     c.paced, c.came = known.paced, now
@@ -116,7 +117,7 @@
                 setattr(worker, name, getattr(learnt, name))
     c.sessions = dict(known.sessions) | c.sessions
     c.kept = {(number, key): used for number, key, used in known.kept} | c.kept
-    c.seen = dict(known.seen) | c.seen
+    c.popularity.seen = dict(known.seen) | c.popularity.seen
     c.pace = {role: pace or known.pace.get(role, 0.0) for role, pace in c.pace.items()}
     c.paced = c.paced or known.paced
     if len(known.by_class) == len(c.stream_time):
--- a/hopshed/hearsay.py
+++ b/hopshed/hearsay.py
@@ -4,26 +4,56 @@
 unsafe turns that such servers spoil, nine in ten go to one that another router has seen failing already.
 A message is a kind of one byte and a server's number; whoever hears of a failure doubts that server for a
 while. Of a server with a long wait the message has that, too: else each router waits there to learn of it.
+
+Reads are told as they are sent: steps of reading time, a tag of the server and one of the shared beginning.
+A small read is told by chance, in proportion: the sum is right, and most messages, which cost, stay unsent.
 """
 
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
+from hashlib import blake2b
+from typing import NamedTuple
 
 from .interface import Settings
 
-FAILING, SLOW = b"F", b"S"
-NUMBER_BYTES = 8
+FAILING, SLOW, READING = b"F", b"S", b"R"
+NUMBER_BYTES, TAG_BYTES, READING_BYTES = 8, 2, 6
+STEP_PART, MOST_STEPS = 0.15, 255  # a step's part of the shortest aim, the same at all routers; in one byte
+NO_TEXT = "0000"  # tag of a prompt that shares no beginning
 DOUBTED_FOR = 10.0  # s for which a failure that another router has seen puts a server in doubt
 SAID_FOR = 5.0  # s in which a server's failures are not spoken of again, whoever spoke
-WAIT_FOR = 1.0  # s in which its waits are not
+WAIT_FOR = 2.0  # s in which its waits are not: so long what was told is believed
 KEPT = 1024  # servers of which words are kept; a message may name any number, old words then go first
 TENTHS, MOST_TENTHS = 10.0, 255  # a wait is told in tenths of a s, in one byte
 
 
+class Slow(NamedTuple):
+    """A router waited so long at a server, in s."""
+
+    server: int
+    wait: float
+
+
+class Reading(NamedTuple):
+    """A router sent a read: s of the server's time, and the tag of the shared beginning left there."""
+
+    servers: tuple[int, ...]  # with this tag: one, or seldom more
+    work: float
+    text: str
+
+
+def tag(key: str) -> str:
+    """A short name of a server or a shared beginning, the same at all routers; a few of many share one."""
+    return blake2b(key.encode(), digest_size=TAG_BYTES).hexdigest()
+
+
 class Hearsay:
     def __init__(self, settings: Settings) -> None:
-        self._may_tell = settings.may_tell and settings.instances > 1
+        self.speaks = settings.may_tell and settings.instances > 1
+        self._step = STEP_PART * min(cls.aim for cls in settings.classes)  # s
+        self._tags: dict[str, tuple[int, ...]] = {}  # tag -> servers
         self._heard: dict[int, float] = {}  # server -> when another router last saw it failing
         self._said: dict[int, float] = {}  # server -> when we last told of it
         self._waits: dict[int, float] = {}  # server -> when its wait was last told, by whomever
@@ -31,23 +61,41 @@
     def failed(self, server: int, now: float) -> bytes | None:
         """A server has failed an attempt of ours: what to tell the others of it, if they need to be told."""
         last = max(self._heard.get(server, -math.inf), self._said.get(server, -math.inf))
-        if not self._may_tell or now - last < SAID_FOR:
+        if not self.speaks or now - last < SAID_FOR:
             return None
         self._said[server] = now
         return FAILING + server.to_bytes(NUMBER_BYTES, "big")
 
     def slow(self, server: int, wait: float, now: float) -> bytes | None:
         """We waited so long at a server, in s: what to tell the others of it, if they need to be told."""
-        if not self._may_tell or now - self._waits.get(server, -math.inf) < WAIT_FOR:
+        if not self.speaks or now - self._waits.get(server, -math.inf) < WAIT_FOR:
             return None
         self._waits[server] = now
         tenths = min(MOST_TENTHS, round(wait * TENTHS))
         return SLOW + server.to_bytes(NUMBER_BYTES, "big") + bytes([tenths])
 
-    def hear(self, data: bytes, now: float) -> tuple[int, float] | None:
-        """A server and the wait that another router had there, in s, where the message is of that.
+    def listed(self, servers: Iterable[int]) -> None:
+        """The servers that words may be of."""
+        self._tags = {}
+        for server in servers:
+            named = tag(str(server))
+            self._tags[named] = (*self._tags.get(named, ()), server)
+
+    def reading(self, server: int, work: float, prefix: str | None, chance: float) -> bytes | None:
+        """A read of so many s is sent: what to tell the others of it, if anything; `chance` = 0 to 1."""
+        steps = min(MOST_STEPS, int(work / self._step + chance)) if self._step > 0 else 0
+        if not self.speaks or steps < 1:
+            return None
+        named = tag(str(server)) + (tag(prefix) if prefix else NO_TEXT)
+        return READING + bytes([steps]) + bytes.fromhex(named)
+
+    def hear(self, data: bytes, now: float) -> Slow | Reading | None:
+        """What a message tells beyond a failure, which stays here.
 
         Raises ValueError where a message is none of ours."""
+        if len(data) == READING_BYTES and data[:1] == READING:
+            named, text = data[2 : 2 + TAG_BYTES].hex(), data[2 + TAG_BYTES :].hex()
+            return Reading(self._tags.get(named, ()), data[1] * self._step, text)
         if len(self._heard) + len(self._waits) > KEPT:
             self._heard = {n: at for n, at in self._heard.items() if now - at < DOUBTED_FOR}
             self._waits = {n: at for n, at in self._waits.items() if now - at < WAIT_FOR}
@@ -57,7 +105,7 @@
             return None
         if len(data) == 2 + NUMBER_BYTES and data[:1] == SLOW:
             self._waits[server] = now
-            return server, rest[0] / TENTHS
+            return Slow(server, rest[0] / TENTHS)
         raise ValueError(f"a message of {len(data)} bytes that begins with {data[:1]!r}")
 
     def doubted(self, server: int, now: float) -> bool:
--- a/hopshed/sights.py
+++ b/hopshed/sights.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from .control import WORK_MEMORY, Controller
+from .control import Controller
 from .interface import Role, RoleSight
+from .slow_start import WORK_MEMORY
 
 
 def sight(c: Controller, now: float) -> dict[Role, RoleSight]:
@@ -13,11 +14,11 @@
 
 def _role(c: Controller, role: Role, now: float) -> RoleSight:
     pool = c.pool(role, now)
-    usable = sum(c.able(w, now) for w in pool)
+    usable = sum(c.slow_start.able(w, now) for w in pool)
     if role is Role.READER:
         read = c.reading[role].faded(now, WORK_MEMORY) * c.s.instances
         busy = read / max(usable, c.s.cold_from)
     else:
         out = sum(w.streams for w in pool)
         busy = out / (out + c.all_room(pool, now)) if out else 0.0
-    return RoleSight(c.running[role], usable, busy)
+    return RoleSight(c.places.running[role], usable, busy)
--- a/hopshed/state.py
+++ b/hopshed/state.py
@@ -6,27 +6,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from .backlog import Backlog
+from .estimate import Estimate
 from .interface import Load, Outcome, RequestArrived, Role, Server
 
 
-@dataclass(slots=True)
-class Estimate:
-    """A figure that fades when nothing confirms it; gains and time constants are the module's."""
-
-    value: float = 0.0
-    at: float = -math.inf
-
-    def faded(self, now: float, constant: float) -> float:
-        return self.value * math.exp((self.at - now) / constant)
-
-    def bump(self, amount: float, now: float, constant: float) -> None:
-        self.value, self.at = self.faded(now, constant) + amount, now
-
-    def learn(self, sample: float, now: float, gain: float, constant: float) -> None:
-        faded = self.faded(now, constant)
-        self.value, self.at = faded + gain * (sample - faded), now
-
-
 class Bucket:
     """A token bucket, full at first; rate and size are the module's."""
 
@@ -61,6 +45,9 @@
     read: bool  # a read only; else it hands a state over, or is a whole turn at a mixed server
     sent: float
     tokens: float  # prompt tokens it must read
+    expected: float = 0.0  # s until the prompt would be read, as believed when it was sent
+    wait: float = 0.0  # the part of it that its server's queue would take, where that is known
+    mark: float = 0.0  # its place in that queue
     first: float = 0.0  # time to the first token
     live: bool = True
     streaming: bool = False
@@ -120,6 +107,7 @@
         self.life, self.probing, self.probe_at, self.probe_fails = now, False, -math.inf, 0
         self.cold_level, self.cold_at = 0.0, now
         self.work = Estimate()  # rate of requests sent there
+        self.backlog = Backlog()  # of all routers' reads there, where they tell one another
 
     def book(self, a: Attempt) -> None:
         self.pending.append(a)
--- a/tests/recovery/test_kept.py
+++ b/tests/recovery/test_kept.py
@@ -10,9 +10,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hopshed.estimate import Estimate
 from hopshed.handover import Knowledge
 from hopshed.interface import Role
-from hopshed.state import Estimate, Session
+from hopshed.state import Session
 from yewhook.operations.form import FormError, HandOver
 from yewhook.recovery.book import Book
 from yewhook.recovery.generations import Generations
--- a/tests/test_hearsay.py
+++ b/tests/test_hearsay.py
@@ -64,7 +64,7 @@
     assert word and one.slow(server, wait, 100.0 + WAIT_FOR / 2) is None
     said = other.hear(word, 100.1)
     assert said and said[0] == server and said[1] == pytest.approx(min(wait, 25.5), abs=0.051)
-    assert other.slow(server, wait, 100.2) is None and other.slow(server, wait, 101.2)
+    assert other.slow(server, wait, 100.2) is None and other.slow(server, wait, 100.2 + WAIT_FOR)
     assert not other.doubted(server, 100.2)
 
 
--- /dev/null
+++ b/tests/test_queues.py
@@ -0,0 +1,290 @@
+"""What routers tell one another of the reads they send: the words, their queues, where reads go."""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from random import Random
+
+import pytest
+from helpers import Bench, only, server, settings
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hopshed.backlog import EXCESS_FADES, Backlog
+from hopshed.hearsay import MOST_STEPS, NO_TEXT, READING, READING_BYTES, STEP_PART, Hearsay, Reading, tag
+from hopshed.interface import ListKind, Log, Outcome, PeerSaid, Role, Send, ServersListed, Tell
+from hopshed.places import LEAN_LEAST, LEAN_MOST, Places
+from hopshed.popularity import DOUBT, DROPPED, Popularity
+from hopshed.rendezvous import Rendezvous
+from hopshed.state import Worker
+
+READERS = tuple(server(n, 0) for n in range(1, 9))
+FLEET = (*READERS, server(11, 1), server(12, 1))
+STEP = STEP_PART * 1.0  # s, by the helpers' one class
+
+
+def hearsay(*servers: int, **kw: object) -> Hearsay:
+    one = Hearsay(settings(**({"may_tell": True, "instances": 40} | kw)))
+    one.listed(servers)
+    return one
+
+
+def fleet_of(**kw: object) -> Bench:
+    """A router of many that knows its readers' pace: 10,000 tokens a second."""
+    b = Bench(FLEET, **({"may_tell": True, "instances": 40} | kw))
+    b.c.pace = dict.fromkeys(Role, 1e-4)
+    return b
+
+
+# ---- the queue ----
+
+
+def test_a_queue_is_what_was_sent_less_the_time_since() -> None:
+    queue = Backlog()
+    assert queue.wait(5.0) == 0.0
+    queue.add(1.0, 10.0)
+    queue.add(0.5, 10.2)
+    assert queue.wait(10.2) == pytest.approx(1.3)
+    assert queue.wait(11.0) == pytest.approx(0.5)
+    assert queue.wait(20.0) == 0.0
+
+
+def test_the_end_of_a_read_tells_what_is_left_before_those_that_came_after_it() -> None:
+    """A server at half its pace: by the clock its queue is gone, but what came after ours is all there."""
+    queue = Backlog()
+    mark = queue.add(1.0, 10.0)
+    queue.add(0.7, 10.1)
+    queue.read(mark, 12.0)
+    assert queue.wait(12.0) == pytest.approx(0.7)
+
+
+def test_a_wait_that_the_queue_does_not_explain_counts_for_a_while() -> None:
+    queue = Backlog()
+    assert queue.waited(0.2, 0.3, 10.0) == 0.0 and queue.wait(10.0) == 0.0
+    assert queue.waited(2.3, 0.3, 10.0) == pytest.approx(2.0)
+    assert queue.wait(10.0) == pytest.approx(1.0)
+    queue.told(3.0, 10.0)
+    queue.told(0.1, 10.0)  # the longer one stands
+    assert queue.wait(10.0) == pytest.approx(3.0)
+    assert queue.wait(10.0 + 5 * EXCESS_FADES) < 0.05
+
+
+@given(st.lists(st.tuples(st.floats(0.0, 2.0), st.floats(0.0, 3.0)), min_size=1, max_size=40))
+def test_a_queue_is_never_more_than_what_was_sent(sends: list[tuple[float, float]]) -> None:
+    queue, now = Backlog(), 0.0
+    for work, later in sends:
+        now += later
+        queue.add(work, now)
+        assert 0.0 <= queue.wait(now) <= queue.sent + 1e-6
+    queue.read(queue.sent, now)
+    assert queue.wait(now) == 0.0 and queue.share(now + 100.0) < 1e-3
+
+
+# ---- the words ----
+
+
+def test_a_read_comes_as_it_was_told() -> None:
+    one, other = hearsay(7, 8), hearsay(7, 8)
+    word = one.reading(7, 4 * STEP, "manual", 0.0)
+    assert word is not None and len(word) == READING_BYTES
+    said = other.hear(word, 1.0)
+    assert isinstance(said, Reading) and (said.servers, said.text) == ((7,), tag("manual"))
+    assert said.work == pytest.approx(4 * STEP)
+    said = other.hear(one.reading(8, 2 * STEP, None, 0.0) or b"", 1.0)
+    assert isinstance(said, Reading) and (said.servers, said.text) == ((8,), NO_TEXT)
+
+
+def test_small_reads_are_told_by_chance_and_sum_up() -> None:
+    """Every one told would cost twice as much; none told would leave a server full of them idle to others."""
+    one, other, draw = hearsay(7), hearsay(7), Random(3)
+    words = [one.reading(7, 0.2 * STEP, None, draw.random()) for _ in range(4000)]
+    heard = [other.hear(word, 1.0) for word in words if word is not None]
+    assert len(heard) < 1200
+    assert sum(said.work for said in heard if isinstance(said, Reading)) == pytest.approx(800 * STEP, rel=0.1)
+
+
+def test_a_read_of_any_length_fits_its_byte() -> None:
+    word = hearsay(7).reading(7, 1e9, None, 0.5)
+    assert word is not None and word[1] == MOST_STEPS
+
+
+@pytest.mark.parametrize("kw", [{"may_tell": False}, {"instances": 1}])
+def test_no_read_is_told_where_it_is_not_permitted_or_nobody_listens(kw: dict[str, object]) -> None:
+    assert hearsay(7, **kw).reading(7, 100.0, None, 0.5) is None
+
+
+@given(st.binary(min_size=5, max_size=5))
+def test_words_of_servers_that_are_not_listed_change_nothing(data: bytes) -> None:
+    b = fleet_of()
+    before = [(w.info.id, w.backlog.sent) for w in b.c.workers.values()]
+    known = {tag(str(n)) for n in b.c.workers}
+    assert not only(b.do(PeerSaid(3, READING + data)), Log)
+    if data[1:3].hex() not in known:
+        assert [(w.info.id, w.backlog.sent) for w in b.c.workers.values()] == before and not b.c.kept
+
+
+# ---- where reads go ----
+
+
+def home_of(prefix: str) -> int:
+    b = fleet_of()
+    b.arrive("r", prefix=prefix, prefix_tokens=900.0)
+    return int(b.attempts["r"][0])
+
+
+def told(b: Bench, number: int, work: float, prefix: str | None = None) -> None:
+    word = hearsay(*b.c.workers).reading(number, work, prefix, 0.0)
+    assert word is not None
+    b.do(PeerSaid(9, word))
+
+
+def test_a_home_that_other_routers_fill_is_passed_over_and_an_idle_one_is_not() -> None:
+    home = home_of("manual")
+    for busy in (False, True):
+        b = fleet_of()
+        if busy:
+            told(b, home, 0.6)
+        b.arrive("r", prefix="manual", prefix_tokens=900.0)
+        assert (b.attempts["r"][0] == home) is not busy
+
+
+def test_a_router_without_words_keeps_to_the_home() -> None:
+    home = home_of("manual")
+    b = fleet_of(may_tell=False)
+    b.c.workers[home].backlog.add(0.6, b.now)
+    b.arrive("r", prefix="manual", prefix_tokens=900.0)
+    assert b.attempts["r"] == [home]
+
+
+def test_a_turn_waits_for_the_server_that_another_router_had_read_its_beginning() -> None:
+    """A wait shorter than reading anew, which takes others' time, too."""
+    home = home_of("manual")
+    for kept, where in ((True, True), (False, False)):
+        b = fleet_of()
+        told(b, home, 0.3, "manual" if kept else None)
+        b.arrive("r", prefix="manual", prefix_tokens=2800.0, prompt_tokens=3000.0)
+        assert (b.attempts["r"][0] == home) is where
+
+
+def test_what_is_kept_is_not_refused_as_if_it_were_read_anew() -> None:
+    """9,000 tokens are 0.9 s of reading and do not fit into what is left of the aim; 400 do."""
+    b = fleet_of()
+    for number in (one.id for one in READERS):
+        told(b, number, 0.45)
+    refused = b.arrive("anew", prefix="manual", prefix_tokens=8600.0, prompt_tokens=9000.0)
+    assert not only(refused, Send)
+    b = fleet_of()
+    for number in (one.id for one in READERS):
+        told(b, number, 0.45, "manual")
+    assert only(b.arrive("kept", prefix="manual", prefix_tokens=8600.0, prompt_tokens=9000.0), Send)
+
+
+def test_a_read_is_told_when_it_is_sent_and_a_fetch_is_not() -> None:
+    b = fleet_of()
+    acts = b.arrive("r", prefix="manual", prefix_tokens=900.0, prompt_tokens=8000.0)
+    (word,) = [a.data for a in only(acts, Tell)]
+    said = hearsay(*b.c.workers).hear(word, b.now)
+    assert isinstance(said, Reading) and said.servers == tuple(b.attempts["r"]) and said.text == tag("manual")
+    assert said.work == pytest.approx(0.8, abs=STEP)
+    assert not [a for a in only(b.read("r", after=0.8), Tell) if a.data[:1] == READING]
+
+
+def test_a_new_process_has_no_queue_and_keeps_nothing() -> None:
+    b = fleet_of()
+    told(b, 1, 3.0, "manual")
+    assert b.c.workers[1].backlog.wait(b.now) > 2 and b.c.kept
+    b.do(ServersListed(ListKind.CHANGES, (server(1, 0, started=b.now),)))
+    assert b.c.workers[1].backlog.wait(b.now) == 0.0 and not b.c.kept
+
+
+def test_a_server_slower_than_its_queue_is_told_to_the_others() -> None:
+    b = fleet_of()
+    b.arrive("r")
+    number = b.attempts["r"][0]
+    (word,) = [a.data for a in only(b.end("r", Outcome.READ, after=1.5), Tell) if a.data[:1] == b"S"]
+    other = fleet_of()
+    other.do(PeerSaid(2, word))
+    assert other.c.workers[number].backlog.wait(other.now) > 1.0
+
+
+@given(st.integers(1, 40), st.integers(2, 12))
+def test_routers_with_one_list_agree_and_a_server_that_goes_moves_its_own_beginnings_alone(
+    seed: int, count: int
+) -> None:
+    one, other, less = Rendezvous(500), Rendezvous(500), Rendezvous(500)
+    everything = {n * seed: 1.0 for n in range(1, count + 1)}
+    one.servers(everything)
+    other.servers(dict(reversed(everything.items())))
+    gone = seed
+    less.servers({n: part for n, part in everything.items() if n != gone})
+    for text in (f"text {n}" for n in range(60)):
+        order = one.places(text)
+        assert order == other.places(text)
+        first = min(order, key=order.__getitem__)
+        if first != gone:
+            left = less.places(text)
+            assert min(left, key=left.__getitem__) == first
+
+
+def play(told_of: bool, turns: int = 600) -> tuple[int, list[float]]:
+    """Ten routers, eight readers, half of all turns for one beginning: those read, and how long."""
+    routers = [fleet_of(may_tell=told_of, instances=10) for _ in range(10)]
+    free = dict.fromkeys([one.id for one in READERS], 100.0)  # when each has read what it has
+    kept: set[tuple[int, str]] = set()
+    out: list[tuple[float, int, str, float]] = []  # ends: when, router, request, tokens kept
+    draw, now, times = Random(5), 100.0, []
+    for n in range(turns):
+        now += draw.expovariate(1 / 0.018)  # some seven tenths of what eight readers do
+        while out and out[0][0] <= now:
+            at, router, rid, note = heappop(out)
+            b = routers[router]
+            b.end(rid, Outcome.READ, after=at - b.now, note=note)
+            b.end(rid, Outcome.OK, after=0.0, closed=True)
+        text = "common" if draw.random() < 0.5 else f"text {draw.randrange(40)}"
+        b, rid = routers[n % 10], f"r{n}"
+        b.now = now
+        acts = b.arrive(rid, prefix=text, prefix_tokens=1500.0, prompt_tokens=2200.0)
+        for word in only(acts, Tell):
+            for other in routers:
+                if other is not b:
+                    other.do(PeerSaid(n % 10, word.data), at=now)
+        if rid in b.attempts:
+            number = b.attempts[rid][0]
+            note = 1500.0 if (number, text) in kept else 0.0
+            kept.add((number, text))
+            free[number] = max(free[number], now) + (2200.0 - note) * 1e-4
+            times.append(free[number] - now)
+            heappush(out, (free[number], n % 10, rid, note))
+    return len(times), times
+
+
+def test_under_skewed_popularity_routers_that_tell_one_another_read_sooner() -> None:
+    alone, waited = play(told_of=False)
+    together, waits = play(told_of=True)
+    assert together >= alone and max(waits) < 1.5
+    assert sum(wait > 0.8 for wait in waits) < sum(wait > 0.8 for wait in waited) / 2
+
+
+# ---- homes ----
+
+
+def test_a_common_beginning_has_more_homes_and_one_that_never_came_has_one() -> None:
+    counts = Popularity()
+    for n in range(100):
+        counts.came("common" if n % 2 else f"text {n}", 10.0)
+    assert counts.homes("common", 20, 10.0) == round(49 / (100 + DOUBT) * 20)
+    assert counts.homes("text 2", 20, 10.0) == counts.homes("new", 20, 10.0) == 1
+    assert counts.homes(None, 20, 10.0) == round(99 / (100 + DOUBT) * 20)  # each session has its own
+    counts.fade(10.0 + DROPPED + 1)
+    assert not counts.seen
+
+
+def test_a_cell_rich_in_writers_draws_reads_within_bounds() -> None:
+    roles = (Role.READER, Role.WRITER)
+    kinds = ((0, 1), (1, 1), (1, 1), (0, 2), (1, 3))  # each server's kind and cell
+    workers = [Worker(server(n, k, cell=cell), roles[k], 0.0, 0.0) for n, (k, cell) in enumerate(kinds)]
+    places = Places()
+    places.listed(workers)
+    assert places.cell(workers[0]) == pytest.approx((2 / 3) / (1 / 2))
+    assert places.weight(workers[0]) == LEAN_MOST and places.weight(workers[3]) == LEAN_LEAST
+    assert places.weight(workers[4]) == LEAN_MOST  # no reader there
--- a/yewhook/levels/capacity.py
+++ b/yewhook/levels/capacity.py
@@ -9,8 +9,8 @@
 
 from __future__ import annotations
 
+from hopshed.estimate import Estimate
 from hopshed.interface import Role, RoleSight
-from hopshed.state import Estimate
 
 SPAN = 40.0  # s; time constant of what is learnt: some streams' time, for use lags what was sent
 ENOUGH = 2.0  # server-seconds in use, below which nothing is known
--- a/yewhook/levels/estimators.py
+++ b/yewhook/levels/estimators.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-from hopshed.state import Estimate
+from hopshed.estimate import Estimate
 
 
 @dataclass(slots=True)
--- a/yewhook/platform/peers.py
+++ b/yewhook/platform/peers.py
@@ -11,6 +11,7 @@
 
 LONGEST = 256  # bytes of a message; a longer one is not permitted
 AT_ONCE = 64  # messages read in a turn
+PAUSE = 0.02  # s for which further ones wait, else hundreds of routers wake this one all the time
 OPEN_AGAIN = 0.05  # s between tries for an address that another process of this instance still has
 
 
@@ -29,7 +30,7 @@
         self._loop, self._everyone, self._heard = loop, everyone, heard
         self._listen, self._numbers = listen, {address: number for number, address in enumerate(peers)}
         self._socket: socket.socket | None = None
-        self._again = Timer(loop)
+        self._again, self._pause = Timer(loop), Timer(loop)
         if waits:
             self.open()
         else:
@@ -67,6 +68,9 @@
             self._loop.log("message to routers lost", str(error))
 
     def _receive(self, mask: int) -> None:
+        if self._socket is not None:
+            self._loop.watch(self._socket, 0, self._receive)
+            self._pause.set(PAUSE, self._listen_on)
         for _ in range(AT_ONCE):
             if self._socket is None:
                 return
@@ -80,8 +84,13 @@
             if (number := self._numbers.get(sender)) is not None:
                 self._heard(number, data)
 
+    def _listen_on(self) -> None:
+        if self._socket is not None:
+            self._loop.watch(self._socket, selectors.EVENT_READ, self._receive)
+
     def close(self) -> None:
         self._again.cancel()
+        self._pause.cancel()
         if self._socket is not None:
             self._loop.watch(self._socket, 0, self._receive)
             self._socket.close()
--- a/yewhook/recovery/recall.py
+++ b/yewhook/recovery/recall.py
@@ -6,8 +6,9 @@
 from dataclasses import replace
 from typing import TypeVar
 
+from hopshed.estimate import Estimate
 from hopshed.handover import Knowledge
-from hopshed.state import Estimate, Session
+from hopshed.state import Session
 
 from .trust import Kind, Source, belief
 from .verdict import Scope
--- a/yewhook/recovery/recovery.py
+++ b/yewhook/recovery/recovery.py
@@ -12,9 +12,9 @@
 from typing import Any
 
 from hopshed import interface as i
-from hopshed.control import WORK_MEMORY
+from hopshed.estimate import Estimate
 from hopshed.interface import ListKind, Outcome, Role, ServerState
-from hopshed.state import Estimate
+from hopshed.slow_start import WORK_MEMORY
 
 from ..levels.estimators import Share
 from ..levels.turns import Standing as TurnStanding
