Leave out zones that stay silent, and let mixed servers have a pace of their own

Cause: each router finds out each server of a zone that is cut off by itself, by two failures. And a mixed server's pace starts as the readers' and a sample of twice the pace or more counts as an outlier (`_learn_pace`), so servers that read at half the readers' pace were never learnt: many routers' logs show 0.000048 for both to the end.

Change: `reach.py` takes two silent servers of a zone, with no sign of life from there since, for the zone's silence, and goes without it for 2 s; `pace.py` takes the first sample of a role of its own in place of the one that stood in. Reads are told in steps of 0.3 of the shortest aim (0.15), which halves the words. What is kept where is `kept.py`, bounded.

--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -22,9 +22,12 @@
     ServersListed, ServerState, ServiceLevel, SetTimer, Settings, StreamStarted, Subscribe, Tell, TimerFired,
     WarmRates,
 )
+from .kept import KeptTexts
+from .pace import Paces
 from .places import Places
 from .popularity import Popularity
 from .quota import Quotas
+from .reach import Reach
 from .rendezvous import Rendezvous, rank
 from .slow_start import WORK_MEMORY, SlowStart
 from .state import Attempt, Request, Session, Worker, drop_before
@@ -35,8 +38,6 @@
 MEMORY_FULL, UTIL_FLOOR = 0.9, 0.05  # memory share above which a writer has no room; idle reports say little
 SMOOTHING, REPORT_TTL = 0.25, 3.0  # s; moving average over room; age at which a report is as not heard
 LOAD_BOUND = 2.0  # a reader holding over this times the median of our reads is passed over
-SMALL_READ, PACE_OUTLIER = 500.0, 2.0  # no pace is learnt from fewer tokens, or at so many times the pace
-PACE_UP, PACE_DOUBT, PACE_SURE = 0.02, 0.9, 5  # weight of slower reads; doubt at a refusal after few reads
 COMMON_RISE, COMMON_STEP = 2.0, 0.1  # a sample counts as so many times the common wait plus so many s at most
 COMMON_GAIN, COMMON_TURNS, COMMON_MAX = 0.3, 5.0, 6.0  # fades in so many turns of ours, s at most
 GAIN, SLOW_GAIN, WAIT_DECAY = 0.25, 0.05, 2.0  # weight of a sample in averages; s in which a wait fades
@@ -79,7 +80,6 @@
         self.tells = bool({"queued", "backlog_tokens"} & set(settings.report_fields))  # readers' queues
         self.workers: dict[int, Worker] = {}
         self.sessions: dict[str, Session] = {}
-        self.kept: dict[tuple[int, str], Estimate] = {}  # (server, shared beginning) -> last read there
         self.requests: dict[str, Request] = {}
         self.by_cst: list[tuple[bool, float, int, Request]] = []
         self.by_lift: list[tuple[float, int, Request]] = []
@@ -91,15 +91,15 @@
         self.stretch = 1.0  # time to whole turns' first token, over what was expected
         self.service = ServiceLevel()
         self.reading = {role: Estimate() for role in Role}  # servers' time that reads of ours take, s a s
-        self.popularity, self.slow_start = Popularity(), SlowStart(settings)
-        self.pace = dict.fromkeys(Role, 0.0)  # s a token read; 0 until measured: no refusal on a guess
+        self.popularity, self.slow_start, self.reach = Popularity(), SlowStart(settings), Reach()
+        self.paces, self.kept = Paces(), KeptTexts()
         self.mean_prompt = self.mean_fresh = 0.0  # mean tokens of a prompt; those that were not kept
         self.context = 0.0  # mean tokens of a request, prompt and answer
         self.leaving, self.leave_age = ([0.0] * max(1, len(settings.tenants)) for _ in range(2))  # by tenant
         self.stream_time, self.class_tokens = ([0.0] * len(settings.classes) for _ in range(2))
         self.retries, self.probes = RETRY_CAP, PROBE_BURST
         self.quotas, self.hearsay = Quotas(settings), Hearsay(settings)
-        self.serial = self.held = self.timer = self.paced = 0  # paced: reads that taught a pace
+        self.serial = self.held = self.timer = 0
         self.gap, self.came, self.log_at = 0.0, 0.0, -math.inf  # mean time between arrivals, and the last
         self.ask_at, self.ask_wait = math.inf, ASK_FIRST
         self.acts: list[Action] = []
@@ -138,7 +138,7 @@
         elif isinstance(word, Reading):
             for w in [self.workers[n] for n in word.servers if n in self.workers]:
                 w.backlog.add(word.work, now)
-                self._keeps(w, word.text, now)
+                self.kept.used(w.info.id, word.text, now)
 
     def _level(self, ev: ServiceLevel, now: float) -> None:
         self.service = ev
@@ -165,7 +165,7 @@
                 w.forget(now)
                 w.info, w.listed = info, now
                 w.cold_level = self.random.random() + self.slow_start.able(w, now)
-                self.kept = {key: use for key, use in self.kept.items() if key[0] != info.id}
+                self.kept.lost(info.id)
             w.info = info
             w.gone_at = now if info.state is ServerState.GONE else math.inf
         for w in self.workers.values():
@@ -218,7 +218,7 @@
         w = a.server
         w.pending.remove(a)
         self._good(w, now)
-        self._learn_wait(w, max(0.0, ev.latency - a.tokens * self.pace[w.role]), now, a.wait)
+        self._learn_wait(w, max(0.0, ev.latency - a.tokens * self.paces.of[w.role]), now, a.wait)
         if a.mark:  # a whole turn
             w.backlog.read(a.mark, now)
             ratio = ev.latency * self.stretch / max(a.expected, STRETCH_LEAST)
@@ -252,6 +252,8 @@
         elif ev.outcome not in (Outcome.CANCELED, Outcome.NOT_SENT):
             still = a.streaming and ev.outcome is Outcome.TIMED_OUT
             self._bad(w, now, still or ev.outcome is Outcome.UNREACHABLE)
+            if ev.outcome in (Outcome.UNREACHABLE, Outcome.TIMED_OUT) and not a.streaming:
+                self.reach.silent(w.info.zone, w.info.id, ev.latency, now)
             if ev.outcome is Outcome.TIMED_OUT and not a.streaming:
                 self._tell_wait(w, ev.latency - a.wait, now)
             if ev.outcome is Outcome.FAILED and (word := self.hearsay.failed(w.info.id, now)):
@@ -267,10 +269,10 @@
     def _read_done(self, req: Request, a: Attempt, ev: AttemptEnded, now: float) -> None:
         w = a.server
         fresh = max(0.0, req.ev.prompt_tokens - ev.note)
-        self._learn_pace(w, fresh, ev.latency)
+        self.paces.learn(w.role, fresh, ev.latency)
         self.mean_prompt += SLOW_GAIN * (req.ev.prompt_tokens - self.mean_prompt)
         self.mean_fresh += SLOW_GAIN * (fresh - self.mean_fresh)
-        self._learn_wait(w, max(0.0, ev.latency - fresh * self.pace[w.role]), now, a.wait)
+        self._learn_wait(w, max(0.0, ev.latency - fresh * self.paces.of[w.role]), now, a.wait)
         w.backlog.read(a.mark, now)
         kept = (req.ev.prompt_tokens - a.tokens) / w.hit  # what it should have kept; a flush shows here
         if kept > 0:
@@ -308,36 +310,23 @@
         if wait > max(TELL_WAIT, COMMON_RISE * common) and (word := self.hearsay.slow(w.info.id, wait, now)):
             self.acts.append(Tell(word))
 
-    def _learn_pace(self, w: Worker, fresh: float, latency: float) -> None:
-        pace = self.pace[w.role]
-        if fresh >= SMALL_READ and (not pace or latency / fresh < pace * PACE_OUTLIER):
-            self.paced += 1
-            gain = 1.0 if not pace else GAIN if latency / fresh < pace else PACE_UP
-            self.pace[w.role] = pace + gain * (latency / fresh - pace)
-            self.pace[Role.MIXED] = self.pace[Role.MIXED] or self.pace[w.role]  # until it is known
-
     def _remember(self, req: Request, w: Worker, now: float) -> None:
         session = self.sessions.pop(req.ev.session, None) or Session()  # kept in the order of last use
         session.reader, session.prompt, session.at = w.info.id, req.ev.prompt_tokens, now
         self.sessions[req.ev.session] = session
-        self._keeps(w, tag(req.ev.prefix) if req.ev.prefix else NO_TEXT, now)
-
-    def _keeps(self, w: Worker, text: str, now: float) -> None:
-        if text != NO_TEXT:  # kept in the order of last use
-            self.kept.pop((w.info.id, text), None)
-            self.kept[(w.info.id, text)] = Estimate(1.0, now)
+        self.kept.used(w.info.id, tag(req.ev.prefix) if req.ev.prefix else NO_TEXT, now)
 
     def _served(self, req: Request, a: Attempt, ev: AttemptEnded) -> None:
         stream = max(0.0, ev.latency - a.first)
         if a.tokens:  # only its end tells what was kept there: of other routers' turns, too
-            self._learn_pace(a.server, max(0.0, req.ev.prompt_tokens - ev.note), a.first)
+            self.paces.learn(a.server.role, max(0.0, req.ev.prompt_tokens - ev.note), a.first)
         mean = self.stream_time[req.ev.cls]
         self.stream_time[req.ev.cls] = mean = mean + SLOW_GAIN * (stream - mean) if mean else stream
         a.server.drag += SLOW_GAIN * (min(DRAG_MAX, stream / max(mean, 1e-3)) - a.server.drag)
         stream = min(stream, self.s.classes[req.ev.cls].token_aim * req.ev.max_tokens)
         read = sum(b.tokens for b in req.attempts if b.outcome in (Outcome.READ, Outcome.OK))
         if session := self.sessions.get(req.ev.session):
-            session.cst += stream + read * self.pace[Role.READER]
+            session.cst += stream + read * self.paces.of[Role.READER]
 
     def _probed(self, ev: ProbeEnded, now: float) -> None:
         if (w := self.workers.get(ev.server)) is None:
@@ -352,14 +341,14 @@
 
     def _quiet(self, w: Worker, now: float) -> bool:
         """No sign of life for longer than waits explain: lost probes alone would eject the busy ones."""
-        read = w.pending[0].tokens * self.pace[w.role] if w.pending else 0.0
+        read = w.pending[0].tokens * self.paces.of[w.role] if w.pending else 0.0
         return now - w.life > SILENT_AFTER + SILENT_WAITS * (self._wait(w, now) + read)
 
     def _heard(self, w: Worker, load: Load | None, now: float) -> None:
         if load is not None:
             w.load, w.load_at, w.own_at_load, w.since_load = load, now, w.streams, 0
             if w.role is Role.READER and self.tells:
-                wait = self._reported(w) * self.pace[w.role]
+                wait = self._reported(w) * self.paces.of[w.role]
                 self.waits[w.role].learn(wait, now, COMMON_GAIN, self._span())
 
     def _reported(self, w: Worker) -> float:
@@ -370,6 +359,7 @@
         return max((w.load.backlog_tokens or 0.0) * share, (w.load.queued or 0.0) * self.mean_fresh)
 
     def _good(self, w: Worker, now: float) -> None:
+        self.reach.alive(w.info.zone)
         w.life, w.trial, w.probe_fails = now, False, 0
         w.errors, w.ejections = w.errors * (1 - GAIN), 0 if now > w.ejected + EJECT_MAX else w.ejections
 
@@ -417,6 +407,8 @@
         tried = [a.server for a in req.attempts] if req else []
         pool = [w for w in self.workers.values() if w.role is role and w not in tried]
         pool = [w for w in pool if self._usable(w, now, req)]
+        if cut_off := self.reach.cut_off(now):
+            pool = [w for w in pool if w.info.zone not in cut_off] or pool
         if req is not None and self.s.classes[req.ev.cls].effect is Effect.UNSAFE:
             return [w for w in pool if not self._in_doubt(w, now)] or pool
         return pool
@@ -527,9 +519,8 @@
             ways += [(part, w)] if w is not None else []
             if part <= COMFORT:
                 break
-        if not ways:  # doubt a young pace, or it refuses for ever on one read that had queued (patras quiet)
-            doubt = PACE_DOUBT if self.paced < PACE_SURE else 1.0
-            self.pace = {role: pace * doubt for role, pace in self.pace.items()}
+        if not ways:
+            self.paces.doubt()
             self._finish(req, "no reader in time")
             return None
         w = min(ways, key=lambda way: way[0])[1]
@@ -545,13 +536,13 @@
         kept = 0.0
         if session is not None and session.reader == w.info.id:
             kept = min(session.prompt, req.ev.prompt_tokens)
-        elif req.ev.prefix and (w.info.id, tag(req.ev.prefix)) in self.kept:
+        elif self.kept.holds(w.info.id, req.ev.prefix):
             kept = req.ev.prefix_tokens
         return max(0.0, req.ev.prompt_tokens - kept * w.hit)
 
     def _expected(self, req: Request, w: Worker, now: float) -> float:
         """Time until w has read the prompt: its queue, from what we have, saw or were told, and the read."""
-        pace = self.pace[w.role]
+        pace = self.paces.of[w.role]
         own = sum(a.tokens for a in w.pending) * pace
         age = w.oldest(now) - (w.pending[0].tokens * pace if w.pending else 0.0)
         wait = max(own, age, self._wait(w, now))
@@ -585,7 +576,7 @@
         left = (min((limit - now) * margin, req.deadline - now) - fetch) * (1 - OVER_MARGIN * req.over)
         expected = [self._expected(req, w, now) for w in pool]
         if told:  # departure: the least cost among them, for a queue that all know is no guess
-            others = OTHERS * self.pace[pool[0].role]
+            others = OTHERS * self.paces.of[pool[0].role]
             fit = [n for n, wait in enumerate(expected) if wait <= left]
             cost = {n: expected[n] + others * self._fresh_tokens(req, pool[n]) for n in fit}
             best = min(fit, key=cost.__getitem__, default=-1)
@@ -657,7 +648,7 @@
             self.retries -= 1
         a = Attempt(w, read, now, fresh, expect)
         if self._told(w) and not fetches:
-            work = fresh * self.pace[w.role]
+            work = fresh * self.paces.of[w.role]
             a.wait, a.mark = w.backlog.wait(now), w.backlog.add(work, now)
             if word := self.hearsay.reading(w.info.id, work, req.ev.prefix, self.random.random()):
                 self.acts.append(Tell(word))
@@ -667,7 +658,7 @@
         weight = self._weight(req)
         w.work.bump(weight / WORK_MEMORY, now, WORK_MEMORY)
         w.cold_level -= weight
-        self.reading[w.role].bump(fresh * self.pace[w.role] / WORK_MEMORY, now, WORK_MEMORY)
+        self.reading[w.role].bump(fresh * self.paces.of[w.role] / WORK_MEMORY, now, WORK_MEMORY)
         if w.role is Role.MIXED:
             self._remember(req, w, now)
         self.acts.append(Send(req.ev.id, w.info.id, timeout))
@@ -752,7 +743,7 @@
             elif not req.done and not req.out:
                 self._further(req, now)
         drop_before(self.sessions, now - SESSION_IDLE)
-        drop_before(self.kept, now - SESSION_IDLE)
+        self.kept.fade(now - SESSION_IDLE)
         self.popularity.fade(now)
         self._forget(now)
         if self.timer % LOOK_EVERY == 0:
--- a/hopshed/handover.py
+++ b/hopshed/handover.py
@@ -70,11 +70,11 @@
         servers={n: Learnt(*(getattr(w, name) for name in names)) for n, w in c.workers.items()},
         work={n: w.work for n, w in c.workers.items()},
         sessions=list(c.sessions.items())[-SESSIONS_MOST:],
-        kept=[(n, key, used) for (n, key), used in list(c.kept.items())[-KEPT_MOST:]],
+        kept=[(n, key, used) for (n, key), used in list(c.kept.uses.items())[-KEPT_MOST:]],
         seen=list(c.popularity.seen.items()),
         waits=c.waits,
-        pace=c.pace,
-        paced=c.paced,
+        pace=c.paces.of,
+        paced=c.paces.learnt,
         means=(c.mean_prompt, c.mean_fresh, c.context, c.gap),
         by_class=list(zip(c.stream_time, c.class_tokens, strict=True)),
         by_tenant=list(zip(c.leaving, c.leave_age, strict=True)),
@@ -95,9 +95,9 @@
                 setattr(worker, field.name, getattr(learnt, field.name))
             worker.work = known.work.get(number, Estimate())
     c.sessions, c.popularity.seen = dict(known.sessions), dict(known.seen)
-    c.kept = {(number, key): used for number, key, used in known.kept}
-    c.waits, c.pace = c.waits | known.waits, c.pace | known.pace
-    c.paced, c.came = known.paced, now
+    c.kept.uses = {(number, key): used for number, key, used in known.kept}
+    c.waits, c.came = c.waits | known.waits, now
+    c.paces.resume(known.pace, known.paced)
     c.mean_prompt, c.mean_fresh, c.context, c.gap = known.means
     c.stream_time, c.class_tokens = (list(part) for part in zip(*known.by_class, strict=True))
     c.leaving, c.leave_age = (list(part) for part in zip(*known.by_tenant, strict=True))
@@ -116,10 +116,10 @@
             for name in REMINDED:
                 setattr(worker, name, getattr(learnt, name))
     c.sessions = dict(known.sessions) | c.sessions
-    c.kept = {(number, key): used for number, key, used in known.kept} | c.kept
+    c.kept.uses = {(number, key): used for number, key, used in known.kept} | c.kept.uses
     c.popularity.seen = dict(known.seen) | c.popularity.seen
-    c.pace = {role: pace or known.pace.get(role, 0.0) for role, pace in c.pace.items()}
-    c.paced = c.paced or known.paced
+    mine = {role: pace for role, pace in c.paces.of.items() if pace}
+    c.paces.resume(known.pace | mine, c.paces.learnt or known.paced)
     if len(known.by_class) == len(c.stream_time):
         times, tokens = zip(*known.by_class, strict=True)
         c.stream_time = [mine or theirs for mine, theirs in zip(c.stream_time, times, strict=True)]
--- a/hopshed/hearsay.py
+++ b/hopshed/hearsay.py
@@ -20,7 +20,7 @@
 
 FAILING, SLOW, READING = b"F", b"S", b"R"
 NUMBER_BYTES, TAG_BYTES, READING_BYTES = 8, 2, 6
-STEP_PART, MOST_STEPS = 0.15, 255  # a step's part of the shortest aim, the same at all routers; in one byte
+STEP_PART, MOST_STEPS = 0.3, 255  # a step's part of the shortest aim, the same at all routers; in one byte
 NO_TEXT = "0000"  # tag of a prompt that shares no beginning
 DOUBTED_FOR = 10.0  # s for which a failure that another router has seen puts a server in doubt
 SAID_FOR = 5.0  # s in which a server's failures are not spoken of again, whoever spoke
--- /dev/null
+++ b/hopshed/kept.py
@@ -0,0 +1,32 @@
+"""Which server keeps which shared beginning, by what this router and others sent there. No clock, no I/O."""
+
+from __future__ import annotations
+
+from .estimate import Estimate
+from .hearsay import NO_TEXT, tag
+from .state import drop_before
+
+MOST = 8192  # that are remembered, the latest: some 250 bytes each
+
+
+class KeptTexts:
+    def __init__(self) -> None:
+        self.uses: dict[tuple[int, str], Estimate] = {}  # (server, tag of the text), in the order of last use
+
+    def used(self, server: int, text: str, now: float) -> None:
+        """A prompt with this beginning, by its tag, is read there."""
+        if text != NO_TEXT:
+            self.uses.pop((server, text), None)
+            self.uses[(server, text)] = Estimate(1.0, now)
+            if len(self.uses) > MOST:
+                del self.uses[next(iter(self.uses))]
+
+    def holds(self, server: int, prefix: str | None) -> bool:
+        return prefix is not None and (server, tag(prefix)) in self.uses
+
+    def lost(self, server: int) -> None:
+        """Its process is a new one."""
+        self.uses = {key: use for key, use in self.uses.items() if key[0] != server}
+
+    def fade(self, before: float) -> None:
+        drop_before(self.uses, before)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -349,7 +349,7 @@
         b.arrive("a", prompt_tokens=2000.0)
         b.do(StreamStarted("a", 0, 21, 0.2))
         b.end("a", Outcome.OK, after=2.0, closed=True, note=kept)
-        assert b.c.pace[Role.MIXED] == pytest.approx(pace)
+        assert b.c.paces.of[Role.MIXED] == pytest.approx(pace)
 
 
 def test_until_it_is_known_a_mixed_server_reads_no_faster_than_a_reader():
@@ -358,7 +358,7 @@
     if b.attempts["a"] == [21]:
         b.end("a", Outcome.FULL)
     b.end("a", Outcome.READ, after=0.3)
-    assert b.c.pace[Role.MIXED] == b.c.pace[Role.READER] > 0
+    assert b.c.paces.of[Role.MIXED] == b.c.paces.of[Role.READER] > 0
 
 
 def test_a_server_that_has_warmed_half_way_is_used_half_way():
@@ -396,10 +396,10 @@
             b.read(f"r{n}", after=0.02)
             sent += 1
     assert sent > 5
-    b.c.paced, before = 50, dict(b.c.pace)
+    b.c.paces.learnt, before = 50, dict(b.c.paces.of)
     b.c.waits[Role.READER].value, b.c.waits[Role.READER].at = 9.0, b.now
     b.arrive("late")
-    assert b.c.pace == before  # not one that many reads taught: it fell to nothing under load
+    assert b.c.paces.of == before  # not one that many reads taught: it fell to nothing under load
 
 
 def test_probes_follow_traffic_and_not_the_fleet():
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -121,9 +121,9 @@
 def sizes(p: Platform) -> list[int]:
     module, router, registry = p.front.router._module, p.front.router, p.front.registry
     tables: list[Sized] = [
-        module.workers, module.requests, module.kept, module.popularity.seen, module.sessions, router.lives,
-        router.servers, router._told_off, registry.addresses, registry.states, p.front.pool._idle,
-        p.front.workers._out, p.front.clients.connections, p.service.loop.deadlines._due,
+        module.workers, module.requests, module.kept.uses, module.popularity.seen, module.sessions,
+        router.lives, router.servers, router._told_off, registry.addresses, registry.states,
+        p.front.pool._idle, p.front.workers._out, p.front.clients.connections, p.service.loop.deadlines._due,
     ]  # fmt: skip
     return [len(table) for table in tables]
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -13,8 +13,11 @@
 from hopshed.backlog import EXCESS_FADES, Backlog
 from hopshed.hearsay import MOST_STEPS, NO_TEXT, READING, READING_BYTES, STEP_PART, Hearsay, Reading, tag
 from hopshed.interface import ListKind, Log, Outcome, PeerSaid, Role, Send, ServersListed, Tell
+from hopshed.kept import MOST, KeptTexts
+from hopshed.pace import Paces
 from hopshed.places import LEAN_LEAST, LEAN_MOST, Places
 from hopshed.popularity import DOUBT, DROPPED, Popularity
+from hopshed.reach import AVOIDED_FOR, Reach
 from hopshed.rendezvous import Rendezvous
 from hopshed.state import Worker
 
@@ -32,7 +35,7 @@
 def fleet_of(**kw: object) -> Bench:
     """A router of many that knows its readers' pace: 10,000 tokens a second."""
     b = Bench(FLEET, **({"may_tell": True, "instances": 40} | kw))
-    b.c.pace = dict.fromkeys(Role, 1e-4)
+    b.c.paces.resume(dict.fromkeys(Role, 1e-4), 50)
     return b
 
 
@@ -120,7 +123,7 @@
     known = {tag(str(n)) for n in b.c.workers}
     assert not only(b.do(PeerSaid(3, READING + data)), Log)
     if data[1:3].hex() not in known:
-        assert [(w.info.id, w.backlog.sent) for w in b.c.workers.values()] == before and not b.c.kept
+        assert [(w.info.id, w.backlog.sent) for w in b.c.workers.values()] == before and not b.c.kept.uses
 
 
 # ---- where reads go ----
@@ -192,9 +195,9 @@
 def test_a_new_process_has_no_queue_and_keeps_nothing() -> None:
     b = fleet_of()
     told(b, 1, 3.0, "manual")
-    assert b.c.workers[1].backlog.wait(b.now) > 2 and b.c.kept
+    assert b.c.workers[1].backlog.wait(b.now) > 2 and b.c.kept.uses
     b.do(ServersListed(ListKind.CHANGES, (server(1, 0, started=b.now),)))
-    assert b.c.workers[1].backlog.wait(b.now) == 0.0 and not b.c.kept
+    assert b.c.workers[1].backlog.wait(b.now) == 0.0 and not b.c.kept.uses
 
 
 def test_a_server_slower_than_its_queue_is_told_to_the_others() -> None:
@@ -288,3 +291,92 @@
     assert places.cell(workers[0]) == pytest.approx((2 / 3) / (1 / 2))
     assert places.weight(workers[0]) == LEAN_MOST and places.weight(workers[3]) == LEAN_LEAST
     assert places.weight(workers[4]) == LEAN_MOST  # no reader there
+
+
+# ---- paces, texts, zones ----
+
+
+def test_a_mixed_servers_own_pace_replaces_the_readers_that_stood_in_for_it() -> None:
+    """It reads at half their pace; its first reads were passed over as outliers, and all later ones, too."""
+    paces = Paces()
+    paces.learn(Role.READER, 4000.0, 0.2)
+    assert paces.of[Role.MIXED] == paces.of[Role.READER] == pytest.approx(5e-5)
+    paces.learn(Role.MIXED, 4000.0, 0.6)
+    assert paces.of[Role.MIXED] == pytest.approx(1.5e-4) and paces.of[Role.READER] == pytest.approx(5e-5)
+    paces.learn(Role.MIXED, 4000.0, 60.0)  # a jam is no pace
+    paces.learn(Role.MIXED, 1.0, 0.4)  # nor is a prompt that was kept whole
+    assert paces.of[Role.MIXED] == pytest.approx(1.5e-4)
+
+
+def test_a_successor_knows_which_paces_are_its_own() -> None:
+    paces = Paces()
+    paces.resume({Role.READER: 5e-5, Role.MIXED: 5e-5}, 9)
+    assert paces.own == {Role.READER}
+    paces.resume({Role.READER: 5e-5, Role.MIXED: 1e-4}, 9)
+    assert paces.own == {Role.READER, Role.MIXED}
+
+
+def test_texts_are_bounded_and_the_latest_stay() -> None:
+    kept = KeptTexts()
+    for n in range(MOST + 10):
+        kept.used(n, tag("manual"), float(n))
+    assert len(kept.uses) == MOST and kept.holds(MOST + 9, "manual") and not kept.holds(9, "manual")
+    assert not kept.holds(MOST + 9, None) and not kept.holds(MOST + 9, "other")
+
+
+ZONES = (*(server(n, 0, zone=n % 2) for n in range(1, 9)), server(11, 1, zone=0), server(12, 1, zone=1))
+
+
+def lost(b: Bench, rid: str, zone: int, outcome: Outcome = Outcome.UNREACHABLE, after: float = 0.25) -> None:
+    """A turn whose first attempt goes to the zone and comes to nothing."""
+    for n in range(60):
+        b.arrive(f"{rid}{n}")
+        at = b.c.workers[b.attempts[f"{rid}{n}"][0]]
+        if at.info.zone == zone and at.role is Role.READER:
+            b.end(f"{rid}{n}", outcome, after=after)
+            return
+        b.end(f"{rid}{n}", Outcome.READ, after=0.01)
+    raise AssertionError("no turn went there")
+
+
+def zones_of(b: Bench, rid: str, turns: int = 12) -> set[int]:
+    out = set()
+    for n in range(turns):
+        b.arrive(f"{rid}{n}")
+        out.add(b.c.workers[b.attempts[f"{rid}{n}"][0]].info.zone)
+    return out
+
+
+def test_a_zone_of_which_two_servers_stay_silent_is_left_out_and_tried_again() -> None:
+    for silent, later, zones in (((1,), 0, {0, 1}), ((1, 3), 0, {0}), ((1, 3), AVOIDED_FOR + 0.1, {0, 1})):
+        b = Bench(ZONES)  # a machine alone is no zone
+        for number in silent:
+            b.c.reach.silent(1, number, 0.25, b.now)
+        b.now += later
+        assert zones_of(b, "r") == zones
+
+
+def test_silence_is_learnt_from_attempts_and_a_sign_of_life_ends_it() -> None:
+    b = Bench(ZONES)
+    lost(b, "a", 1)
+    lost(b, "b", 1)
+    silent = b.c.reach.cut_off(b.now)
+    assert silent <= {1}
+    b.c.reach.silent(1, 99, 0.25, b.now)
+    assert b.c.reach.cut_off(b.now) == {1}
+    b.c.reach.alive(1)
+    assert not b.c.reach.cut_off(b.now)
+
+
+def test_a_refused_connection_is_a_process_and_not_a_zone() -> None:
+    reach = Reach()
+    reach.silent(1, 5, 0.002, 100.0)
+    reach.silent(1, 6, 0.002, 100.0)
+    assert not reach.cut_off(100.0)
+
+
+def test_where_every_zone_is_cut_off_none_is_left_out() -> None:
+    b = Bench(ZONES)
+    for zone, number in ((0, 2), (0, 4), (1, 1), (1, 3)):
+        b.c.reach.silent(zone, number, 0.25, b.now)
+    assert b.c.reach.cut_off(b.now) == {0, 1} and zones_of(b, "r", 6)
--- a/yewhook/loop.py
+++ b/yewhook/loop.py
@@ -29,6 +29,7 @@
     def __init__(self, log: Log, clock: Callable[[], float] = time.monotonic) -> None:
         self.log, self._clock = log, clock
         self.deadlines = Deadlines()
+        self.gatherers: list[Callable[[], None]] = []  # what is looked at in each turn and wakes nobody
         self.deciders: list[Turn] = []
         self.stopped = False
         self.now = clock()
@@ -73,7 +74,7 @@
         for key, mask in ready:
             if self._selector.get_map().get(key.fd) is key:  # an earlier handler may have closed it
                 self._guard(lambda key=key, mask=mask: key.data(mask))  # type: ignore[misc]
-        for call in self.deadlines.due(self.now):
+        for call in (*self.deadlines.due(self.now), *self.gatherers):
             self._guard(call)
         return any([decider.turn(self.now) for decider in self.deciders])
 
--- a/yewhook/platform/peers.py
+++ b/yewhook/platform/peers.py
@@ -1,8 +1,12 @@
-"""Short messages between the routers of a tier, by UDP: late or never, and nobody waits for one."""
+"""Short messages between the routers of a tier, by UDP: late or never, and nobody waits for one.
+
+None wakes the process: hundreds of routers say hundreds of things a second. What has come is read in turns
+that there are, the module's tick among them, and not in each of them.
+"""
 
 from __future__ import annotations
 
-import selectors
+import math
 import socket
 from collections.abc import Callable
 
@@ -11,7 +15,7 @@
 
 LONGEST = 256  # bytes of a message; a longer one is not permitted
 AT_ONCE = 64  # messages read in a turn
-PAUSE = 0.02  # s for which further ones wait, else hundreds of routers wake this one all the time
+PAUSE = 0.02  # s between looks at what has come
 OPEN_AGAIN = 0.05  # s between tries for an address that another process of this instance still has
 
 
@@ -30,7 +34,7 @@
         self._loop, self._everyone, self._heard = loop, everyone, heard
         self._listen, self._numbers = listen, {address: number for number, address in enumerate(peers)}
         self._socket: socket.socket | None = None
-        self._again, self._pause = Timer(loop), Timer(loop)
+        self._again, self._looked = Timer(loop), -math.inf
         if waits:
             self.open()
         else:
@@ -46,7 +50,7 @@
             raise
         self._socket = mine
         self._loop.sockets += 1
-        self._loop.watch(mine, selectors.EVENT_READ, self._receive)
+        self._loop.gatherers.append(self._receive)
 
     def open(self) -> None:
         """Hear and speak again, once the other process has let the address go."""
@@ -67,10 +71,10 @@
         except OSError as error:
             self._loop.log("message to routers lost", str(error))
 
-    def _receive(self, mask: int) -> None:
-        if self._socket is not None:
-            self._loop.watch(self._socket, 0, self._receive)
-            self._pause.set(PAUSE, self._listen_on)
+    def _receive(self) -> None:
+        if self._loop.now - self._looked < PAUSE:
+            return
+        self._looked = self._loop.now
         for _ in range(AT_ONCE):
             if self._socket is None:
                 return
@@ -84,15 +88,10 @@
             if (number := self._numbers.get(sender)) is not None:
                 self._heard(number, data)
 
-    def _listen_on(self) -> None:
-        if self._socket is not None:
-            self._loop.watch(self._socket, selectors.EVENT_READ, self._receive)
-
     def close(self) -> None:
         self._again.cancel()
-        self._pause.cancel()
         if self._socket is not None:
-            self._loop.watch(self._socket, 0, self._receive)
+            self._loop.gatherers.remove(self._receive)
             self._socket.close()
             self._loop.sockets -= 1
             self._socket = None
