--- a/hopshed/backlog.py
+++ b/hopshed/backlog.py
@@ -14,6 +14,7 @@
 
 from .estimate import Estimate
 
+QUEUE_MOST = 10.0  # s; a word that is wrong, or none of a router's, makes a server passed over no longer
 RATE_MEMORY = 5.0  # s; time constant of the part of its time that a server reads
 SLOW_GAIN, SLOW_FADES, SLOW_MOST = 0.5, 10.0, 10.0  # weight of a read's time over what was expected; s; bound
 LEAST = 0.1  # s that reads may differ by for reasons that are no pace
@@ -44,7 +45,7 @@
 
     def add(self, work: float, now: float) -> float:
         """A read is sent there; returns its mark for `read`."""
-        self.queue, self.at = self._left(now) + work, now
+        self.queue, self.at = min(QUEUE_MOST, self._left(now) + work), now
         self.sent += work
         self.rate.bump(work / RATE_MEMORY, now, RATE_MEMORY)
         return self.sent
@@ -55,7 +56,7 @@
         `took`, `expected` = s, the latter as believed when it was sent."""
         ratio = self.stretch(now) * (took + LEAST) / (expected + LEAST)
         self.slower.learn(min(SLOW_MOST, max(1.0, ratio)) - 1.0, now, SLOW_GAIN, SLOW_FADES)
-        self.queue, self.at = self.sent - mark, now
+        self.queue, self.at = min(QUEUE_MOST, self.sent - mark), now
 
     def waited(self, wait: float, believed: float, now: float) -> float:
         """A read waited so long where so much was believed; returns what the queue did not explain."""
--- a/hopshed/hearsay.py
+++ b/hopshed/hearsay.py
@@ -20,8 +20,8 @@
 
 FAILING, SLOW, READING = b"F", b"S", b"R"
 NUMBER_BYTES, TAG_BYTES, READING_BYTES = 8, 2, 6
-STEP_PARTS, STEP_ROUTERS = (0.1, 0.3), 200.0  # a step's part of the shortest aim: one for so many routers, since
-MOST_STEPS = 255  # each that hears costs, within bounds and the same at all; steps are told in one byte
+STEP_PARTS, STEP_ROUTERS = (0.1, 0.3), 200.0  # a step's part of the shortest aim: one for so many routers,
+MOST_STEPS = 255  # since each that hears costs, within bounds; steps are told in one byte
 NO_TEXT = "0000"  # tag of a prompt that shares no beginning
 DOUBTED_FOR = 10.0  # s for which a failure that another router has seen puts a server in doubt
 SAID_FOR = 5.0  # s in which a server's failures are not spoken of again, whoever spoke
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hopshed.backlog import EXCESS_FADES, Backlog
+from hopshed.backlog import EXCESS_FADES, QUEUE_MOST, Backlog
 from hopshed.hearsay import MOST_STEPS, NO_TEXT, READING, READING_BYTES, Hearsay, Reading, tag
 from hopshed.interface import ListKind, Log, Outcome, PeerSaid, Role, Send, ServersListed, Tell
 from hopshed.kept import MOST, KeptTexts
@@ -83,6 +83,15 @@
     assert queue.wait(now) == 0.0 and queue.share(now + 100.0) < 1e-3
 
 
+def test_no_word_keeps_a_server_out_for_long() -> None:
+    queue = Backlog()
+    mark = queue.add(1.0, 10.0)
+    queue.add(1e6, 10.0)
+    assert queue.wait(10.0) == QUEUE_MOST
+    queue.read(mark, 1.0, 1.0, 11.0)
+    assert queue.wait(11.0) == QUEUE_MOST and queue.wait(11.0 + QUEUE_MOST) == 0.0
+
+
 # ---- the words ----
 
 
