--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -423,3 +423,25 @@
     for zone, number in ((0, 2), (0, 4), (1, 1), (1, 3)):
         b.c.reach.silent(zone, number, 0.25, b.now)
     assert b.c.reach.cut_off(b.now) == {0, 1} and zones_of(b, "r", 6)
+
+
+# ---- what makes no sense ----
+
+
+def test_a_worker_that_states_more_kept_than_was_asked_teaches_no_pace() -> None:
+    b = fleet_of()
+    paces = dict(b.c.paces.of)
+    b.arrive("r", prefix="manual", prefix_tokens=900.0)
+    b.end("r", Outcome.READ, after=0.001, note=10**9)
+    assert b.c.paces.of == paces
+    worker = b.c.workers[b.attempts["r"][0]]
+    assert worker.hit <= 1.0 and worker.backlog.wait(b.now) >= 0.0
+
+
+def test_a_beginning_longer_than_its_prompt_asks_for_no_less_than_nothing() -> None:
+    b = fleet_of()
+    for rid in ("first", "again"):  # the second finds it kept
+        assert only(b.arrive(rid, prefix="manual", prefix_tokens=1e8, prompt_tokens=50.0), Send)
+        attempt = b.c.requests[rid].attempts[0]
+        assert attempt.tokens >= 0.0 and attempt.expected >= 0.0
+        b.end(rid, Outcome.READ, after=0.01)
