Hash each tag once, and let the tests notice five parts of the change that could be taken out

Read again after the change: a turn hashed the tag of its beginning once for each server that it may go to, twice in the choice by cost, and each list hashed the tags of all servers anew; they are kept now (1,024 of them). Decisions do not change.

Broken on purpose, one at a time in a scratch copy, against test_queues and test_hearsay: of twelve breaks in control.py seven were found; the sign of life of a zone, the end of a read and of a whole turn's, the weight of others' time and the stretch of a slow server's read could go unnoticed.

--- a/hopshed/hearsay.py
+++ b/hopshed/hearsay.py
@@ -13,6 +13,7 @@
 
 import math
 from collections.abc import Iterable
+from functools import lru_cache
 from hashlib import blake2b
 from typing import NamedTuple
 
@@ -22,6 +23,7 @@
 NUMBER_BYTES, TAG_BYTES, READING_BYTES = 8, 2, 6
 STEP_PARTS, STEP_ROUTERS = (0.1, 0.3), 200.0  # a step's part of the shortest aim: one for so many routers,
 MOST_STEPS = 255  # since each that hears costs, within bounds; steps are told in one byte
+TAGS_KEPT = 1024  # names that are not hashed anew
 NO_TEXT = "0000"  # tag of a prompt that shares no beginning
 DOUBTED_FOR = 10.0  # s for which a failure that another router has seen puts a server in doubt
 SAID_FOR = 5.0  # s in which a server's failures are not spoken of again, whoever spoke
@@ -45,6 +47,7 @@
     text: str
 
 
+@lru_cache(TAGS_KEPT)  # a turn asks for that of its beginning at each server that it may go to
 def tag(key: str) -> str:
     """A short name of a server or a shared beginning, the same at all routers; a few of many share one."""
     return blake2b(key.encode(), digest_size=TAG_BYTES).hexdigest()
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -12,7 +12,7 @@
 
 from hopshed.backlog import EXCESS_FADES, QUEUE_MOST, Backlog
 from hopshed.hearsay import MOST_STEPS, NO_TEXT, READING, READING_BYTES, Hearsay, Reading, tag
-from hopshed.interface import ListKind, Log, Outcome, PeerSaid, Role, Send, ServersListed, Tell
+from hopshed.interface import ListKind, Log, Outcome, PeerSaid, Role, Send, ServersListed, StreamStarted, Tell
 from hopshed.kept import MOST, KeptTexts
 from hopshed.pace import Paces
 from hopshed.places import LEAN_LEAST, LEAN_MOST, Places
@@ -312,6 +312,49 @@
     assert only(b.arrive("long", prompt_tokens=15000.0), Send)  # 1.5 s of 1.6
 
 
+def test_the_end_of_our_read_leaves_what_others_sent_after_it() -> None:
+    """By the clock it would be gone: the server was slower than all thought."""
+    b = fleet_of()
+    b.arrive("r")
+    worker = b.c.workers[b.attempts["r"][0]]
+    told(b, worker.info.id, 0.7)  # three steps
+    b.read("r", after=3.0)
+    assert (worker.backlog.queue, worker.backlog.at) == (pytest.approx(0.6), b.now)
+
+
+def test_the_first_token_of_a_whole_turn_ends_its_read() -> None:
+    b = Bench((server(21, 2), server(22, 2)), may_tell=True, instances=40)
+    b.c.paces.resume(dict.fromkeys(Role, 1e-4), 50)
+    b.arrive("r")
+    worker = b.c.workers[b.attempts["r"][0]]
+    assert worker.role is Role.MIXED
+    told(b, worker.info.id, 0.7)  # three steps
+    b.do(StreamStarted("r", 0, worker.info.id, 3.0), at=b.now + 3.0)
+    assert (worker.backlog.queue, worker.backlog.at) == (pytest.approx(0.6), b.now)
+
+
+def test_a_slow_server_is_passed_over_though_it_has_no_queue() -> None:
+    home = home_of("manual")
+    for slow in (False, True):
+        b = fleet_of()
+        b.c.gap, b.c.came = 0.1, b.now - 0.1
+        queue = b.c.workers[home].backlog
+        queue.read(queue.add(0.1, b.now), 2.0 if slow else 0.1, 0.1, b.now)
+        assert queue.wait(b.now) == 0.0
+        b.arrive("r", prefix="manual", prefix_tokens=900.0, prompt_tokens=3000.0)
+        assert (b.attempts["r"][0] == home) is not slow
+
+
+def test_a_wait_is_borne_rather_than_others_time_taken_by_reading_anew() -> None:
+    """0.4 s of waiting against 0.28 s of reading that an idle server's other turns would wait for, too."""
+    home = home_of("manual")
+    b = fleet_of()
+    b.c.gap, b.c.came = 1.0, b.now - 1.0
+    told(b, home, 0.4, "manual")
+    b.arrive("r", prefix="manual", prefix_tokens=2800.0, prompt_tokens=3000.0)
+    assert b.attempts["r"] == [home]
+
+
 # ---- homes ----
 
 
@@ -371,13 +414,13 @@
 ZONES = (*(server(n, 0, zone=n % 2) for n in range(1, 9)), server(11, 1, zone=0), server(12, 1, zone=1))
 
 
-def lost(b: Bench, rid: str, zone: int, outcome: Outcome = Outcome.UNREACHABLE, after: float = 0.25) -> None:
+def lost(b: Bench, rid: str, zone: int) -> None:
     """A turn whose first attempt goes to the zone and comes to nothing."""
     for n in range(60):
         b.arrive(f"{rid}{n}")
         at = b.c.workers[b.attempts[f"{rid}{n}"][0]]
         if at.info.zone == zone and at.role is Role.READER:
-            b.end(f"{rid}{n}", outcome, after=after)
+            b.end(f"{rid}{n}", Outcome.UNREACHABLE, after=0.25)
             return
         b.end(f"{rid}{n}", Outcome.READ, after=0.01)
     raise AssertionError("no turn went there")
@@ -412,6 +455,19 @@
     assert not b.c.reach.cut_off(b.now)
 
 
+def test_the_end_of_a_read_is_a_sign_of_life_of_its_zone() -> None:
+    b = Bench(ZONES)
+    turns = [f"r{n}" for n in range(12)]
+    for rid in turns:
+        b.arrive(rid)
+    there = next(rid for rid in turns if b.c.workers[b.attempts[rid][0]].info.zone == 1)
+    b.c.reach.silent(1, 1, 0.25, b.now)
+    b.c.reach.silent(1, 3, 0.25, b.now)
+    assert b.c.reach.cut_off(b.now) == {1}
+    b.read(there)
+    assert not b.c.reach.cut_off(b.now)
+
+
 def test_a_refused_connection_is_a_process_and_not_a_zone() -> None:
     reach = Reach()
     reach.silent(1, 5, 0.002, 100.0)
