--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -256,6 +256,8 @@
                 self.acts.append(Tell(word))
         if ev.outcome is Outcome.CANCELED and not a.streaming:  # it would have waited longer still
             self._learn_wait(w, max(ev.latency, self._wait(w, now)), now, a.wait)
+        if ev.outcome not in (Outcome.UNREACHABLE, Outcome.NOT_SENT):  # these have reached nobody
+            req.state_since = now
         req.done = req.done or ev.closed
         if req.done:
             self._drop(req)
@@ -274,7 +276,7 @@
         kept = (req.ev.prompt_tokens - a.tokens) / w.hit  # what it should have kept; a flush shows here
         if kept > 0:
             w.hit += GAIN * (min(1.0, ev.note / kept) - w.hit)
-        req.state, req.state_since = w, now
+        req.state = w
         self._remember(req, w, now)
 
     def _told(self, w: Worker) -> bool:
@@ -681,9 +683,10 @@
             return self._finish(req, "retry budget spent")
         if req.state is not None:
             w = self._writer(req, now)
-            if w is not None and self._may_send(req, w, now):
+            waits = now - req.state_since < STATE_HOLD * self.s.release_within
+            if waits and w is not None and self._may_send(req, w, now):
                 return self._send(req, w, now, read=False)
-            if now - req.state_since < STATE_HOLD * self.s.release_within and w is None:
+            if waits and w is None:
                 return None  # the tick looks again while the state may wait
             return self._finish(req, "no writer")
         mixed = req.attempts[-1].server.role is Role.MIXED
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -39,10 +39,10 @@
             def broken(self, ending: Ending) -> None:
                 heard[1].append(ending.name)
 
-        connection.ask(Heard(), b"")
+        connection.ask(Heard(), lambda: b"")
         for part in parts:
             connection.received(part)
-        kept = bool(pool.latest())
+        kept = bool(pool._idle)
         connection.close()
     return *heard, kept
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -145,6 +145,27 @@
     assert only(acts, ReleaseState) and len(only(acts, Refuse)) == 1
 
 
+def test_connections_that_never_come_up_do_not_give_a_state_more_time():
+    fleet = (server(1, 0), *(server(n, 1) for n in range(11, 17)))
+    b = Bench(fleet, release_within=1.0)
+    b.arrive("a")
+    b.read("a")
+    assert len(only(b.end("a", Outcome.UNREACHABLE, after=0.25), Send)) == 1
+    assert len(only(b.end("a", Outcome.UNREACHABLE, after=0.25), Send)) == 1
+    acts = b.end("a", Outcome.UNREACHABLE, after=0.25)  # 0.75 s after the read
+    assert not only(acts, Send) and only(acts, ReleaseState) and only(acts, Refuse)
+
+
+def test_a_writer_that_turned_a_state_away_gives_it_time_anew():
+    fleet = (server(1, 0), server(11, 1))
+    b = Bench(fleet, release_within=1.0)
+    b.arrive("a")
+    b.read("a")
+    assert not only(b.end("a", Outcome.FULL, after=0.5), Refuse)  # the tick looks again
+    assert not only(b.tick(b.now + 0.5), Refuse)
+    assert only(b.tick(b.now + 0.2), Refuse)
+
+
 def test_draining_and_gone_servers_get_nothing_new():
     b = Bench()
     draining = tuple(server(i, 0, state=ServerState.DRAINING) for i in (1, 2))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -14,7 +14,7 @@
 from hopshed import interface as i
 from hopshed import wire
 from yewhook.core.ending import OUTCOMES, Ending
-from yewhook.core.router import Router
+from yewhook.core.router import CLOSE_SEEN, Router
 from yewhook.deadlines import Deadlines
 from yewhook.log import Log
 
@@ -95,6 +95,8 @@
         self.sent: list[tuple[str, int, int]] = []
         self.aborted: list[tuple[str, int]] = []
         self.released: list[str] = []
+        self.release_times: list[tuple[float, float]] = []  # from when on, and by when
+        self.begins: list[float] = []  # s in which each attempt must be on its way
         self.forgotten: list[int] = []
         self.waiting: set[tuple[str, int]] = set()  # attempts whose connections are not up
 
@@ -102,6 +104,7 @@
         self, request_id: str, attempt: int, server: int, call: object, timeout: float, begins: float
     ) -> None:
         self.sent.append((request_id, attempt, server))
+        self.begins.append(begins)
 
     def abort(self, request_id: str, attempt: int) -> bool:
         self.aborted.append((request_id, attempt))
@@ -113,8 +116,9 @@
     def withdraw(self, request_id: str, attempt: int) -> bool:
         return (request_id, attempt) in self.waiting
 
-    def release(self, request_id: str) -> None:
+    def release(self, request_id: str, begin_at: float, due: float) -> None:
         self.released.append(request_id)
+        self.release_times.append((begin_at, due))
 
     def forget(self, server: int) -> None:
         self.forgotten.append(server)
@@ -281,6 +285,50 @@
     assert c.workers.released == ["a"]
 
 
+def test_a_connection_that_never_comes_up_leaves_the_time_of_a_state_running(c: Core) -> None:
+    # The state waited 0.65 s for a writer, and each of three connections took 0.25 s more: 1.40 s in all.
+    c.take()
+    c.do(i.Send("a", READER, 1.0))
+    c.router.ended("a", 0, Ending.READ)
+    c.do()
+    c.wait(0.6)
+    c.do(i.Send("a", WRITER, 1.0))
+    assert c.workers.begins[-1] == pytest.approx(0.2)
+    c.wait(0.15)
+    c.router.ended("a", 1, Ending.CONNECT_SILENT)
+    c.do(i.Send("a", 3, 1.0))
+    assert c.workers.begins[-1] == pytest.approx(0.05)
+    c.wait(0.05)
+    c.router.ended("a", 2, Ending.CONNECT_SILENT)
+    c.do()
+    c.wait(0.001)
+    assert c.workers.released == ["a"] and c.workers.release_times[0] == pytest.approx((100.801, 101.0))
+
+
+@pytest.mark.parametrize("ending", [Ending.TURNED_AWAY, Ending.ERROR, Ending.BROKEN, Ending.TIMED_OUT])
+def test_an_attempt_that_reached_a_worker_starts_the_time_of_a_state_anew(c: Core, ending: Ending) -> None:
+    c.take()
+    c.do(i.Send("a", READER, 1.0))
+    c.router.ended("a", 0, Ending.READ)
+    c.do(i.Send("a", WRITER, 1.0))
+    c.wait(0.9)
+    c.router.ended("a", 1, ending)
+    c.do()
+    c.wait(0.7)
+    assert not c.workers.released
+    c.wait(0.11)
+    assert c.workers.released == ["a"] and c.workers.release_times[0][1] == pytest.approx(101.9)
+
+
+def test_a_read_that_was_given_up_is_released_once_its_close_has_been_seen(c: Core) -> None:
+    # At once, the call may overtake the close, and what the read leaves in between stays.
+    c.take()
+    c.do(i.Send("a", READER, 1.0))
+    c.router.client_left("a")
+    c.do()
+    assert c.workers.release_times[0] == pytest.approx((100.0 + CLOSE_SEEN, 101.0))
+
+
 def test_a_cancelled_read_may_have_left_a_state(c: Core) -> None:
     # The read may have ended at the very moment its connection closed.
     c.take()
--- /dev/null
+++ b/tests/test_held_state.py
@@ -0,0 +1,132 @@
+"""Held state on real connections: what workers hold is let go in time though most of a role is silent."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+
+import pytest
+from scenario import Party
+from test_platform import Platform
+
+WRITERS = ("writer", "w2", "w3", "w4")
+LIMIT = 1.0  # s for which a state may be held, in the settings of the tests
+SLACK = 0.3
+
+
+class Deaf:
+    """A listener to which no connection comes up: its queue in the kernel is full, as if it were cut off."""
+
+    def __init__(self, party: Party) -> None:
+        assert party.listener is not None
+        self.party, self.listener, self.fillers = party, party.listener, list[socket.socket]()
+        party.listener = None
+        self.listener.listen(0)
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(party.address)
+            self.fillers.append(filler)
+
+    def close(self) -> None:
+        for sock in (self.listener, *self.fillers):
+            sock.close()
+
+
+@pytest.fixture
+def p() -> Iterator[Platform]:
+    played = Platform({"reader": "prefill"} | dict.fromkeys(WRITERS, "decode"))
+    yield played
+    played.end()
+
+
+def told(p: Platform, what: str, within: float) -> bool:
+    """Whether the reader has been told so within so many s of the router's clock."""
+    end = p.clock.now + within
+    while what not in p.parties["reader"].heard and p.clock.now < end:
+        p.wait(0.01)
+    return what in p.parties["reader"].heard
+
+
+def hold(p: Platform, seconds: float) -> float:
+    """A read ends while all writers are told to drain; so many s later they run again. When it ended."""
+    p.play("discovery send watch")
+    generation = 2
+    for name in WRITERS:
+        p.play(f"discovery send list name={name} state=draining generation={generation}")
+        generation += 1
+    p.play("wait 0.05\nclient send ask\nreader expect POST\nreader send read")
+    p.until(lambda: any(life.held.possible for life in p.front.router.lives.values()), "the read has ended")
+    ended = p.clock.now
+    p.wait(seconds)
+    for name in WRITERS:
+        p.play(f"discovery send list name={name} state=up generation={generation}")
+        generation += 1
+    return ended
+
+
+def test_a_state_is_let_go_in_time_though_no_writer_can_be_connected_to(p: Platform) -> None:
+    # READ, 0.5 s without a writer, then connections that never come up, 0.25 s each: the time ran on.
+    deaf = [Deaf(p.parties[name]) for name in WRITERS]
+    ended = hold(p, 0.45)
+    assert told(p, "DELETE /internal/reservations/r1", LIMIT + SLACK)
+    assert p.clock.now - ended <= LIMIT
+    for one in deaf:
+        one.close()
+
+
+def test_a_silent_worker_that_was_heard_last_does_not_keep_a_release(p: Platform) -> None:
+    # Every writer takes the call and says nothing; each had been asked first, one after another.
+    p.play("client send ask\nreader expect POST\nreader send read")
+    p.until(lambda: any(p.parties[name].heard for name in WRITERS), "a writer has been asked")
+    p.play("client close")
+    left = p.clock.now
+    assert told(p, "DELETE /internal/reservations/r1", LIMIT + SLACK)
+    assert p.clock.now - left <= LIMIT / 2
+    p.play("reader send status status=204")
+    p.until(lambda: not p.front.releases.busy, "let go")
+
+
+@pytest.mark.parametrize("status", ["404", "500", "200"])
+def test_an_answer_to_a_release_is_taken_for_what_it_is(p: Platform, status: str) -> None:
+    p.play("client send ask\nreader expect POST\nclient close")
+    asked = [name for name in p.parties if name != "reader"]
+    p.until(lambda: any("DELETE" in p.parties[name].heard for name in asked), "a release")
+    first = next(name for name in asked if "DELETE" in p.parties[name].heard)
+    p.play(f"{first} send status status={status}")
+    if status == "200":
+        p.until(lambda: not p.front.releases.busy, "confirmed")
+    else:
+        p.until(lambda: sum("DELETE" in p.parties[name].heard for name in p.parties) > 1, "another worker")
+
+
+def test_a_garbled_answer_to_a_release_confirms_nothing(p: Platform) -> None:
+    p.play("client send ask\nreader expect POST\nclient close")
+    asked = [name for name in p.parties if name != "reader"]
+    p.until(lambda: any("DELETE" in p.parties[name].heard for name in asked), "a release")
+    first = next(name for name in asked if "DELETE" in p.parties[name].heard)
+    p.play(f"{first} send raw text=nonsense")
+    p.until(lambda: sum("DELETE" in p.parties[name].heard for name in p.parties) > 1, "another worker")
+    assert p.front.releases.busy
+
+
+def test_a_worker_that_leaves_the_list_is_no_longer_asked(p: Platform) -> None:
+    p.play("discovery send watch")
+    for generation, name in enumerate(("reader", *WRITERS[1:]), 2):
+        p.play(f"discovery send list name={name} state=removed generation={generation}")
+    p.play("wait 0.1")
+    assert [c.address for c in p.front._release_candidates()] == [p.parties["writer"].address]
+
+
+def test_the_time_left_is_told_as_the_bytes_leave(p: Platform) -> None:
+    # It was told as of the decision: up to a whole connect time more than the client had left.
+    p.play("client send ask left=5000m")
+    while not any(life.out for life in p.front.router.lives.values()):
+        p.service.loop.run_turn(0.01)
+    decided = p.clock.now
+    p.clock.now += 0.2  # the connection takes so long to come up
+    p.play("reader expect X-Remaining: ")
+    remaining = int(p.parties["reader"].text.partition("u\r\n")[0]) / 1e6
+    life = next(iter(p.front.router.lives.values()))
+    assert life.out is not None and life.out.timer is not None
+    assert remaining <= life.out.timer.at - decided - 0.2 + 0.001
--- a/yewhook/core/ending.py
+++ b/yewhook/core/ending.py
@@ -65,3 +65,6 @@
 
 # After these a reader may hold a state: it kept one, or the end of its read crossed ours.
 MAY_HOLD = frozenset({Outcome.READ, Outcome.RESET, Outcome.TIMED_OUT, Outcome.CANCELED, Outcome.FAILED})
+
+# These are our own doing: the worker learns of them when it sees the connection close.
+GIVEN_UP = frozenset({Ending.TIMED_OUT, Ending.CANCELED, Ending.CLIENT_LEFT})
--- a/yewhook/core/life.py
+++ b/yewhook/core/life.py
@@ -9,6 +9,7 @@
 
 from ..deadlines import Deadline
 from .ending import Ending
+from .held_state import HeldState
 from .ports import Client
 
 
@@ -38,9 +39,9 @@
     client: Client
     call: object  # what the front wants carried to the worker
     deadline: float
+    held: HeldState
     stage: Stage = Stage.ACCEPTED
     attempts: list[Attempt] = field(default_factory=list)
-    may_hold: bool = False  # a worker may hold a state for it
     timers: list[Deadline] = field(default_factory=list)
     let_go: Deadline | None = None
 
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -19,15 +19,18 @@
 
 from ..deadlines import Deadline, Deadlines
 from ..log import Log
-from .ending import MAY_HOLD, NO_STATE_NOTE, OUTCOMES, Ending
+from .ending import GIVEN_UP, NO_STATE_NOTE, OUTCOMES, Ending
+from .held_state import HeldState
 from .life import Attempt, Life, Stage
 from .ports import Client, Governor, Workers
 
 T = TypeVar("T")
 ANSWER_GRACE = 0.02  # s after its deadline at which a request that the module left open is answered
 FORGET = 30.0  # s after which a server that is gone is forgotten: no rule and no request reaches back as far
-DRAIN_LEAST = 0.05  # s that a connection has to come up at the least, where no grace is granted at a drain
-LET_GO = 0.8  # part of the release limit after which the core lets go of what the module forgot
+CONNECT_LEAST = 0.05  # s that a connection has to come up, however short the times of the settings are
+# s after an attempt was given up until a release is sent: the worker has seen the close by then, and a read
+# that ended at the same moment has left its state.
+CLOSE_SEEN = 0.02
 
 
 class Router:
@@ -72,7 +75,9 @@
         if arrived.id in self.lives:
             return False
         effect = self.settings.classes[arrived.cls].effect
-        life = self.lives[arrived.id] = Life(arrived, effect, client, call, self._clock() + arrived.patience)
+        deadline = self._clock() + arrived.patience
+        held = HeldState(self.settings.release_within)
+        life = self.lives[arrived.id] = Life(arrived, effect, client, call, deadline, held)
         at = life.deadline + ANSWER_GRACE
         life.timers.append(self._deadlines.set(at, lambda: self._overdue(life)))
         self._facts.append(arrived)
@@ -181,7 +186,8 @@
         if life is None or attempt is None or attempt.reads or life.stage is Stage.ENDED:
             return False
         if life.stage is not Stage.STREAMING:
-            life.stage, life.may_hold = Stage.STREAMING, False
+            life.stage = Stage.STREAMING
+            life.held.cleared()
             self._stop_timers(life, attempt)
             latency = self._clock() - attempt.sent
             self._facts.append(i.StreamStarted(request_id, number, attempt.server, latency))
@@ -202,8 +208,7 @@
         outcome = OUTCOMES[ending]
         if ending is Ending.STATE_GONE:
             note = NO_STATE_NOTE
-        if attempt.reads and outcome in MAY_HOLD:
-            life.may_hold = True
+        life.held.attempt_ended(outcome, attempt.reads, self._clock())
         if life.stage is Stage.STREAMING:
             self._finish(life, ending)
         elif life.stage is Stage.ATTEMPT_OUT:
@@ -321,9 +326,11 @@
 
     def _begins_within(self, life: Life) -> float:
         """s in which an attempt must be on its way, however long a connection may take to come up: a server
-        told to drain meanwhile gets nothing later, and a repeat after its window runs anew."""
-        drain = max(DRAIN_LEAST, self.settings.drain_grace)
-        return min(drain, self._window_left(life) if self._may_have_run(life) else drain)
+        told to drain meanwhile gets nothing later, a repeat after its window runs anew, and the time in which
+        a state may be held goes on."""
+        held = max(CONNECT_LEAST, life.held.release_at - self._clock())
+        within = min(held, max(CONNECT_LEAST, self.settings.drain_grace))
+        return min(within, self._window_left(life)) if self._may_have_run(life) else within
 
     def _window_left(self, life: Life) -> float:
         """s in which a request of its class that may have run may go out again."""
@@ -360,8 +367,9 @@
 
     def _release(self, act: i.ReleaseState) -> None:
         if life := self.lives.get(act.id):
-            life.may_hold = False
-        self.workers.release(act.id)
+            return self._let_go(life)
+        now = self._clock()
+        return self.workers.release(act.id, now, now + self.settings.release_within)
 
     def _cancel(self, act: i.CancelAttempt) -> None:
         life, attempt = self._out(act.id, act.attempt)
@@ -435,13 +443,19 @@
             return
         self._deadlines.cancel(life.let_go)
         if life.stage is Stage.ENDED:
-            self._let_go(life)
+            self._let_go_if_held(life)
             self.lives.pop(life.id, None)
-        elif life.may_hold:
-            at = self._clock() + LET_GO * self.settings.release_within
-            life.let_go = self._deadlines.set(at, lambda: self._let_go(life))
+        elif life.held.possible:
+            life.let_go = self._deadlines.set(life.held.release_at, lambda: self._let_go_if_held(life))
+
+    def _let_go_if_held(self, life: Life) -> None:
+        if life.held.possible and life.out is None:
+            self._let_go(life)
 
     def _let_go(self, life: Life) -> None:
-        if life.may_hold and life.out is None:
-            life.may_hold = False
-            self.workers.release(life.id)
+        now = self._clock()
+        due = life.held.due if life.held.possible else now + self.settings.release_within
+        life.held.cleared()
+        last = life.attempts[-1].ending if life.attempts else None
+        begin_at = now + CLOSE_SEEN if last in GIVEN_UP else now
+        self.workers.release(life.id, begin_at, due)
--- a/yewhook/front.py
+++ b/yewhook/front.py
@@ -12,9 +12,11 @@
 from .config import Address, Names
 from .core.ending import Ending
 from .core.ports import Told, Workers
+from .core.release_call import Candidate
 from .core.router import Router
 from .levels.level import Vitals
 from .levels.settings import LevelsSettings, Mode
+from .liveness import Liveness
 from .loop import Loop, Timer
 from .operations.instance import Posture
 from .registry import Registry
@@ -117,6 +119,7 @@
 
 
 O = TypeVar("O", bound=Out)  # noqa: E741
+Release = Callable[[str, float, float], None]  # of a request, from a time on and by another
 
 
 class AttemptsOut(Generic[O]):
@@ -124,7 +127,7 @@
 
     told: Told
 
-    def __init__(self, loop: Loop, registry: Registry, release: Callable[[str], None]) -> None:
+    def __init__(self, loop: Loop, registry: Registry, release: Release) -> None:
         self.loop, self._registry = loop, registry
         self._release = release
         self._out: dict[tuple[str, int], O] = {}
@@ -157,8 +160,8 @@
         self.abort(request_id, attempt)
         return True
 
-    def release(self, request_id: str) -> None:
-        self._release(request_id)
+    def release(self, request_id: str, begin_at: float, due: float) -> None:
+        self._release(request_id, begin_at, due)
 
     def forget(self, server: int) -> None:
         self._registry.forget(server)
@@ -176,17 +179,31 @@
     whose = ""  # clients, in a word
 
     def __init__(
-        self, loop: Loop, settings: i.Settings, names: Names, ask: Ask, latest: Callable[[], list[Address]]
+        self, loop: Loop, settings: i.Settings, names: Names, ask: Ask, liveness: Liveness
     ) -> None:
-        self.loop, self._settings = loop, settings
+        self.loop, self._settings, self._liveness = loop, settings, liveness
         self.grace = min(GRACE_MOST, max(c.patience for c in settings.classes))
         others = max(1, settings.instances - 1)
         self.lasts = min(LAST_TAKEN, self.grace / 2) / others if settings.may_resume else 0.0
         self.registry = Registry(names, time.monotonic() - time.time(), loop.log)
-        self.releases = Releases(loop, ask, latest, self.registry.running)
+        self.releases = Releases(loop, ask, self._release_candidates)
         self._governor: Governor | None = None
         self.recovery: Recovery | None = None  # where operators want one, and levels judge
 
+    def _release_candidates(self) -> list[Candidate]:
+        """The workers that run, those told to drain among them: any of them takes a release."""
+        addresses, servers, liveness = self.registry.addresses, self.router.servers, self._liveness
+        candidates = []
+        for number, state in self.registry.states.items():
+            address, server = addresses.get(number), servers.get(number)
+            if address is None or state is i.ServerState.GONE:
+                continue
+            group = (server.kind, server.zone) if server is not None else None
+            draining = state is i.ServerState.DRAINING
+            heard, missed = liveness.heard(address), liveness.missed(address)
+            candidates.append(Candidate(address, group, heard, missed, draining))
+        return candidates
+
     def route(self, workers: TellingWorkers, seed: int) -> None:
         """Give the front its router."""
         self._seed = seed
--- a/yewhook/platform/front.py
+++ b/yewhook/platform/front.py
@@ -50,7 +50,7 @@
             config.settings,
             config.names,
             lambda address, request_id, done: delete(pool, address, request_id, done),
-            pool.latest,
+            pool.liveness,
         )
         self.workers = HttpWorkers(pool, config.names.columns, self.registry, self.releases.release)
         self.recovery = keeper.recovery if keeper is not None else None
--- a/yewhook/platform/reservations.py
+++ b/yewhook/platform/reservations.py
@@ -38,4 +38,4 @@
         f"DELETE /internal/reservations/{request_id} HTTP/1.1",
         {"Host": f"{address[0]}:{address[1]}", "Content-Length": "0"},
     )
-    return pool.ask(address, _Delete(done), request).close
+    return pool.ask(address, _Delete(done), lambda: request).close
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -13,7 +13,7 @@
 from ..channel import Channel
 from ..config import Address
 from ..core.ending import Ending
-from ..front import AttemptsOut
+from ..front import AttemptsOut, Release
 from ..loop import Loop, Timer
 from ..pool import Pool
 from ..registry import Registry
@@ -58,6 +58,8 @@
         self._in_head = self._begun = self._in_chunk = self._complete = self._reusable = False
         self.channel = Channel.connect(pool.loop, address, self)
         self._timer = Timer(pool.loop)  # to come up, and for what has begun to end
+        self._compose: Callable[[], bytes] | None = None  # the request, until the connection is up
+        self._asked = pool.loop.now
         self._heard = 0.0
         self._still = Timer(pool.loop)  # for a running stream to say something
         self._timer.set(pool.connect_timeout, self._too_late)
@@ -67,15 +69,22 @@
         """Whether the last byte of what is asked has been handed over."""
         return self.up and self.channel.written
 
-    def ask(self, exchange: Exchange, request: bytes) -> None:
-        self.exchange = exchange
+    def ask(self, exchange: Exchange, compose: Callable[[], bytes]) -> None:
+        """Send a request, composed as its bytes leave: what it says of the time left is right then."""
+        self.exchange, self._asked = exchange, self.pool.loop.now
         self._parser = httptools.HttpResponseParser(self)
         self._headers, self._head_size = {}, 0
         self._in_head = True
         self._begun = self._in_chunk = self._complete = self._reusable = False
-        self.channel.send(request)
+        if self.up:
+            self.channel.send(compose())
+        else:
+            self._compose = compose
 
     def close(self) -> None:
+        address, liveness = self.address, self.pool.liveness
+        if self.exchange is not None and liveness.heard(address) < self._asked:  # nothing since it was asked
+            liveness.miss(address, self.pool.loop.now)
         self.exchange = self._parser = None  # the parser knows this object, too
         self._timer.cancel()
         self._still.cancel()
@@ -87,6 +96,9 @@
     def connected(self) -> None:
         self.up = True
         self._timer.cancel()
+        if (compose := self._compose) is not None:
+            self._compose = None
+            self.channel.send(compose())
 
     def hurry(self, within: float) -> None:
         """Give up a connection that is not up in so many s, though it may take longer otherwise."""
@@ -100,6 +112,7 @@
         """What is asked has been written whole."""
 
     def received(self, data: bytes) -> None:
+        self.pool.liveness.hear(self.address, self.pool.loop.now)
         if self.exchange is None or self._parser is None:
             return self.close()  # bytes that nobody asked for
         if self._in_head:
@@ -228,10 +241,10 @@
         super().__init__(loop, room, idle_limit, lambda address: WorkerConnection(self, address), REST)
         self.log, self.connect_timeout = loop.log, connect_timeout
 
-    def ask(self, address: Address, exchange: Exchange, request: bytes) -> WorkerConnection:
+    def ask(self, address: Address, exchange: Exchange, compose: Callable[[], bytes]) -> WorkerConnection:
         """Ask on a kept or a new connection. Raises OSError where none can be opened."""
         connection = self.take(address)
-        connection.ask(exchange, request)
+        connection.ask(exchange, compose)
         return connection
 
 
@@ -249,8 +262,8 @@
         self._found = 0
         self._load: i.Load | None = None
 
-    def begin(self, address: Address, request: bytes, within: float) -> None:
-        self.connection = self.workers.pool.ask(address, self, request)
+    def begin(self, address: Address, compose: Callable[[], bytes], within: float) -> None:
+        self.connection = self.workers.pool.ask(address, self, compose)
         self.connection.hurry(within)
 
     def give_up(self) -> bool:
@@ -347,7 +360,7 @@
         pool: WorkerPool,
         columns: tuple[str, ...],
         registry: Registry,
-        release: Callable[[str], None],
+        release: Release,
     ) -> None:
         super().__init__(pool.loop, registry, release)
         self.pool, self.columns = pool, columns
@@ -357,12 +370,13 @@
     ) -> None:
         assert isinstance(call, Call)
         fields = {"host": "worker", "content-type": "application/json"} | http.end_to_end(call.headers)
-        fields |= {
-            "X-Txn": request_id,
-            "X-Remaining": f"{max(1, round(timeout * 1e6))}u",
-            "Content-Length": str(len(call.body)),
-        }
+        fields |= {"X-Txn": request_id, "Content-Length": str(len(call.body))}
         start = f"{call.method.decode('latin-1')} {call.target.decode('latin-1')} HTTP/1.1"
-        request = http.head(start, fields) + call.body
+        expires = self.loop.now + timeout
+
+        def compose() -> bytes:
+            remaining = max(1, round((expires - self.loop.now) * 1e6))
+            return http.head(start, fields | {"X-Remaining": f"{remaining}u"}) + call.body
+
         exchange = AttemptExchange(self, request_id, attempt)
-        self.begin(exchange, server, lambda address: exchange.begin(address, request, begins))
+        self.begin(exchange, server, lambda address: exchange.begin(address, compose, begins))
--- a/yewhook/pool.py
+++ b/yewhook/pool.py
@@ -7,8 +7,10 @@
 
 from .channel import Channel
 from .config import Address
+from .liveness import Liveness
 from .loop import Loop
 
+LIVENESS_KEPT = 60.0  # s for which it is remembered when a server was heard
 IDLE_PART = 0.5  # part of the other side's idle limit after which this side closes an idle connection
 
 
@@ -35,6 +37,7 @@
         """`rest` = s that a kept connection stands before it is used again: what the other side sends beyond
         its answer shows in them, and is not taken for the next one."""
         self.loop, self._rest = loop, rest
+        self.liveness = Liveness()
         self._room, self._keep_for, self._connect = room, idle_limit * IDLE_PART, connect
         self._idle: dict[Address, list[C]] = {}
         self._sweep()
@@ -57,6 +60,7 @@
 
     def keep(self, connection: C) -> None:
         connection.idle_since = self.loop.now
+        self.liveness.hear(connection.address, self.loop.now)
         connection.channel.pause(False)  # a slow client may have had its last exchange paused
         self._idle.setdefault(connection.address, []).append(connection)
 
@@ -67,11 +71,6 @@
             if not idle:
                 del self._idle[connection.address]
 
-    def latest(self) -> list[Address]:
-        """Addresses with a kept connection, the one last used first: those servers live."""
-        youngest = {address: idle[-1].idle_since for address, idle in self._idle.items()}
-        return sorted(youngest, key=lambda address: youngest[address], reverse=True)
-
     def keep_only(self, addresses: set[Address]) -> None:
         """Close what is kept to addresses that no server has any more."""
         for address in self._idle.keys() - addresses:
@@ -93,4 +92,5 @@
             if self.loop.now - connection.idle_since > self._keep_for:
                 self.forget(connection)
                 connection.close()
+        self.liveness.forget_before(self.loop.now - LIVENESS_KEPT)
         self.loop.after(min(1.0, self._keep_for / 4), self._sweep)
--- a/yewhook/releases.py
+++ b/yewhook/releases.py
@@ -1,14 +1,15 @@
-"""Letting go of what workers hold: any running worker takes the call, so one after another is asked."""
+"""Makes the calls that let go of what workers hold; `core/release_call.py` decides whom to ask, and when."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 from .config import Address
-from .loop import Loop
+from .core.release_call import Candidate, Plan, ReleaseCall, Result
+from .loop import Loop, Timer
 
-PATIENCE = 0.15  # s for one worker's answer
-TRIES = 6
+MAX_CALLS = 32  # open at once, of all releases together; each release may have one, however many there are
 
 Done = Callable[[bool], None]
 # Asks one worker to let go of all that is held for a request; returns what gives the call up. Raises OSError.
@@ -16,62 +17,99 @@
 
 
 class _Release:
-    def __init__(self, releases: Releases, request_id: str) -> None:
-        self._all, self._id = releases, request_id
-        self._tried: list[Address] = []
-        self._give_up: Callable[[], None] | None = None
-
-    def next(self) -> None:
-        address = self._all.choose(self._tried)
-        if address is None or len(self._tried) >= TRIES:
-            self._all.loop.log("release not confirmed", f"{self._id} after {len(self._tried)} workers")
-            return self._all.done(self)
-        self._tried.append(address)
-        tries = len(self._tried)
-        try:
-            self._give_up = self._all.ask(address, self._id, lambda taken: self._answered(tries, taken))
-        except OSError:
-            return self._all.loop.after(0.01, self.next)
-        return self._all.loop.after(PATIENCE, lambda: self._silent(tries))
+    """The calls of one release that are open, and its timer."""
 
-    def _answered(self, tries: int, taken: bool) -> None:
-        if tries == len(self._tried):
-            self._give_up = None
-            self._all.done(self) if taken else self.next()
+    def __init__(self, releases: Releases, request_id: str, begin_at: float, due: float) -> None:
+        self._releases, self._request_id = releases, request_id
+        self._state = ReleaseCall(begin_at, due)
+        self._give_up: dict[Address, Callable[[], None]] = {}
+        self._timer = Timer(releases.loop)
 
-    def _silent(self, tries: int) -> None:
-        if self._give_up is not None and tries == len(self._tried):
-            self._give_up()
-            self._give_up = None
-            self.next()
+    @property
+    def calls(self) -> int:
+        """How many of its calls are open."""
+        return len(self._give_up)
+
+    @property
+    def late(self) -> bool:
+        """Whether its time is over."""
+        return self._state.late
+
+    def advance(self) -> None:
+        """Do what is to be done at this time."""
+        releases = self._releases
+        plan = self._state.advance(releases.candidates(), releases.loop.now, releases.room)
+        if plan.missed_due:
+            releases.loop.log("release late", f"{self._request_id} after {self._state.asked} calls")
+        self._carry_out(plan)
+
+    def _carry_out(self, plan: Plan) -> None:
+        for address in plan.give_up:
+            self._close(address)
+        for address in plan.ask:
+            self._call(address)
+        if plan.result is not None:
+            return self._end(plan.result)
+        if plan.wake_at is not None:
+            self._wake(plan.wake_at)
+        return None
+
+    def _call(self, address: Address) -> None:
+        releases = self._releases
+        try:
+            give_up = releases.ask(address, self._request_id, partial(self._answered, address))
+        except OSError:
+            releases.loop.after(0.0, partial(self._answered, address, False))
+        else:
+            self._give_up[address] = give_up
+
+    def _answered(self, address: Address, confirmed: bool) -> None:
+        self._give_up.pop(address, None)
+        plan = self._state.answered(address, confirmed, self._releases.loop.now)
+        if plan is not None:
+            self._carry_out(plan)
+
+    def _wake(self, at: float) -> None:
+        self._timer.set(max(0.0, at - self._releases.loop.now), self.advance)
+
+    def _close(self, address: Address) -> None:
+        if (give_up := self._give_up.pop(address, None)) is not None:
+            give_up()
+
+    def _end(self, result: Result) -> None:
+        self._timer.cancel()
+        for address in list(self._give_up):
+            self._close(address)
+        if result is Result.ABANDONED:
+            self._releases.loop.log(
+                "release not confirmed", f"{self._request_id} after {self._state.asked} calls"
+            )
+        self._releases.ended(self)
 
 
 class Releases:
-    def __init__(
-        self,
-        loop: Loop,
-        ask: Ask,
-        latest: Callable[[], list[Address]],
-        running: Callable[[], list[Address]],
-    ) -> None:
-        self.loop, self.ask = loop, ask
-        self._latest, self._running = latest, running
+    """All releases of a front that no worker has confirmed yet."""
+
+    def __init__(self, loop: Loop, ask: Ask, candidates: Callable[[], list[Candidate]]) -> None:
+        self.loop, self.ask, self.candidates = loop, ask, candidates
         self._open: set[_Release] = set()
 
+    @property
+    def room(self) -> int:
+        """How many more calls may be begun at once."""
+        return MAX_CALLS - sum(release.calls for release in self._open)
+
     @property
     def busy(self) -> bool:
-        return bool(self._open)
+        """Whether a release may still be confirmed in time."""
+        return any(not release.late for release in self._open)
 
-    def release(self, request_id: str) -> None:
-        release = _Release(self, request_id)
+    def release(self, request_id: str, begin_at: float, due: float) -> None:
+        """Let go of all that is held for a request, from `begin_at` on and by `due` (the loop's clock)."""
+        release = _Release(self, request_id, begin_at, due)
         self._open.add(release)
-        release.next()
-
-    def choose(self, tried: list[Address]) -> Address | None:
-        """A worker that lives, by its latest answer; else the next that discovery calls running."""
-        running = self._running()
-        order = [a for a in self._latest() if a in running] + running
-        return next((a for a in order if a not in tried), None)
+        release.advance()
 
-    def done(self, release: _Release) -> None:
+    def ended(self, release: _Release) -> None:
+        """It is confirmed, or nothing can be held any more."""
         self._open.discard(release)
--- a/yewhook/toolcalls/front.py
+++ b/yewhook/toolcalls/front.py
@@ -36,7 +36,7 @@
             config.settings,
             config.names,
             lambda address, request_id, done: let_go(pool, address, request_id, done),
-            pool.latest,
+            pool.liveness,
         )
         self._tools = tools = Tools(loop, pool, config.tool_deadline, self._tool_servers, seed)
         self._workers = workers = RpcWorkers(
--- a/yewhook/toolcalls/workers.py
+++ b/yewhook/toolcalls/workers.py
@@ -8,7 +8,7 @@
 from .. import reports
 from ..config import Address
 from ..core.ending import Ending
-from ..front import AttemptsOut
+from ..front import AttemptsOut, Release
 from ..jsonrpc import Code, Id, Late, Peer, RpcError
 from ..loop import Loop
 from ..registry import Registry
@@ -169,7 +169,7 @@
         tools: Tools,
         columns: tuple[str, ...],
         registry: Registry,
-        release: Callable[[str], None],
+        release: Release,
         silence: float,
     ) -> None:
         super().__init__(loop, registry, release)
--- a/yewlab/fleet.py
+++ b/yewlab/fleet.py
@@ -281,7 +281,7 @@
         """Connections here are up at once, so all that is sent is on its way."""
         return False
 
-    def release(self, request_id: str) -> None:
+    def release(self, request_id: str, begin_at: float, due: float) -> None:
         def arrive() -> None:
             box = self.fleet.states.get(request_id)
             if box is not None and not box.silent:
