--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -14,14 +14,9 @@
 from statistics import median
 from typing import Any
 
+from . import interface as i
 from .estimate import Estimate
 from .hearsay import NO_TEXT, Hearsay, Reading, Slow, tag
-from .interface import (
-    Action, AttemptEnded, CancelAttempt, ClientGone, Effect, Event, Fail, Group, ListKind, Load, Log,
-    MoveStream, Outcome, PeerSaid, Probe, ProbeEnded, Refuse, ReleaseState, RequestArrived, Role, Send,
-    ServersListed, ServerState, ServiceLevel, SetTimer, Settings, StreamStarted, Subscribe, Tell, TimerFired,
-    WarmRates,
-)
 from .kept import KeptTexts
 from .pace import Paces
 from .places import Places
@@ -31,6 +26,7 @@
 from .rendezvous import Rendezvous, rank
 from .slow_start import WORK_MEMORY, SlowStart
 from .state import Attempt, Request, Session, Worker, drop_before
+from .waits import WAIT_DECAY, Waits
 
 TICK, LOOK_EVERY, LIFT = 0.05, 4, 4.0  # s; ticks between looks over the fleet; wait over CST that lifts
 SESSION_IDLE, ORDERS_KEPT = 60.0, 500  # s unused until sessions and kept texts are dropped; hash orders kept
@@ -38,9 +34,7 @@
 MEMORY_FULL, UTIL_FLOOR = 0.9, 0.05  # memory share above which a writer has no room; idle reports say little
 SMOOTHING, REPORT_TTL = 0.25, 3.0  # s; moving average over room; age at which a report is as not heard
 LOAD_BOUND = 2.0  # a reader holding over this times the median of our reads is passed over
-COMMON_RISE, COMMON_STEP = 2.0, 0.1  # a sample counts as so many times the common wait plus so many s at most
-COMMON_GAIN, COMMON_TURNS, COMMON_MAX = 0.3, 5.0, 6.0  # fades in so many turns of ours, s at most
-GAIN, SLOW_GAIN, WAIT_DECAY = 0.25, 0.05, 2.0  # weight of a sample in averages; s in which a wait fades
+GAIN, SLOW_GAIN = 0.25, 0.05  # weight of a sample in averages
 DRAG_MAX, READ_SHARE = 4.0, 0.6  # most that one stream counts for in drag; reading's part at mixed servers
 LEAVE_GAIN, LEAVE_FADE, LEAVE_SHARE = 0.05, 0.0125, 0.5  # share of clients leaving whose age bounds the aim
 SPARE_HOMES = 2  # readers beyond its homes that a turn may go to
@@ -64,8 +58,7 @@
 SILENT_TIMES, PROBE_FAILS = 3.0, 2  # so long, and a writer is out though it answers probes; lost in a row
 PROBE_EVERY, PAIR_FRESH = 0.8, 0.2  # s; younger reports are not asked for again, of the drawn writers neither
 PROBES_A_TURN, PROBE_BURST = 3.5, 6.0  # budget of probes for load: all routers' sum then follows the traffic
-TELL_WAIT = 0.5  # s; longer waits, if they are far over the common one, are told to the other routers
-WRITING = (Role.WRITER, Role.MIXED)
+WRITING = (i.Role.WRITER, i.Role.MIXED)
 LOG_EVERY, ASK_FIRST = 5.0, 0.5  # s between log lines; s until a failed list call is repeated
 OVER_MARGIN = 0.5  # part of the time left that a turn beyond its client's quota does without
 
@@ -73,7 +66,7 @@
 class Controller:
     """One router's decisions. `handle` takes what happened and returns what to do; it keeps no clock."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: i.Settings, seed: int) -> None:
         self.s, self.random = settings, Random(seed)
         self.steered = not {"utilization", "memory_share"}.isdisjoint(settings.report_fields)
         self.tells = bool({"queued", "backlog_tokens"} & set(settings.report_fields))  # readers' queues
@@ -84,11 +77,10 @@
         self.by_lift: list[tuple[float, int, Request]] = []
         self.room: dict[bool, float | None] = {False: None, True: None}  # smoothed; True = mixed servers
         self.room_at, self.chance = 0.0, self.random.random()
-        self.waits = {role: Estimate() for role in Role}  # of all a role's servers together
         self.ranks, self.lean = Rendezvous(ORDERS_KEPT), 1.0  # weight of readers, on average
-        self.places, self.streams = Places(), dict.fromkeys(Role, 0)  # our streams
-        self.service = ServiceLevel()
-        self.reading = {role: Estimate() for role in Role}  # servers' time that reads of ours take, s a s
+        self.places, self.streams = Places(), dict.fromkeys(i.Role, 0)  # our streams
+        self.service = i.ServiceLevel()
+        self.reading = {role: Estimate() for role in i.Role}  # servers' time that reads of ours take, s a s
         self.popularity, self.slow_start, self.reach = Popularity(), SlowStart(settings), Reach()
         self.paces, self.kept = Paces(), KeptTexts()
         self.mean_prompt = self.mean_fresh = 0.0  # mean tokens of a prompt; those that were not kept
@@ -97,55 +89,62 @@
         self.stream_time, self.class_tokens = ([0.0] * len(settings.classes) for _ in range(2))
         self.retries, self.probes = RETRY_CAP, PROBE_BURST
         self.quotas, self.hearsay = Quotas(settings), Hearsay(settings)
+        self.waits = Waits(self.hearsay)
         self.serial = self.held = self.timer = 0
-        self.gap, self.came, self.log_at = 0.0, 0.0, -math.inf  # mean time between arrivals, and the last
+        self.log_at = -math.inf
         self.ask_at, self.ask_wait = math.inf, ASK_FIRST
-        self.acts: list[Action] = []
+        self.acts: list[i.Action] = []
         self.counts: dict[str, int] = {}  # for the log: what was refused or tried again, and why
         self.on: dict[type, Callable[[Any, float], None]] = {
-            RequestArrived: self._arrived, AttemptEnded: self._ended, StreamStarted: self._started,
-            ClientGone: self._gone, ProbeEnded: self._probed, ServersListed: self._listed,
-            TimerFired: self._tick, ServiceLevel: self._level, PeerSaid: self._told_of,
-            WarmRates: self._took,
+            i.RequestArrived: self._arrived,
+            i.AttemptEnded: self._ended,
+            i.StreamStarted: self._started,
+            i.ClientGone: self._gone,
+            i.ProbeEnded: self._probed,
+            i.ServersListed: self._listed,
+            i.TimerFired: self._tick,
+            i.ServiceLevel: self._level,
+            i.PeerSaid: self._told_of,
+            i.WarmRates: self._took,
         }
 
-    def handle(self, now: float, events: list[Event]) -> list[Action]:
+    def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
         self.acts = []
         if not self.timer:
             self._set_timer()
-            self.acts += [Subscribe()] if self.s.subscribe else []
+            self.acts += [i.Subscribe()] if self.s.subscribe else []
         for ev in events:
             self.on[type(ev)](ev, now)
         self._pump(now)
         for ev in events:  # a client may come with less time left than the next tick needs
-            req = self.requests.get(ev.id) if isinstance(ev, RequestArrived) else None
+            req = self.requests.get(ev.id) if isinstance(ev, i.RequestArrived) else None
             if req is not None and req.held and req.deadline - now < LAST_CALL + TICK:
                 self._finish(req, "no room in time")
             elif req is not None and req.held and self.service.certain and not req.ev.resumed:
                 self._finish(req, "no certain room", gave_way=True)
         return self.acts
 
-    def _told_of(self, ev: PeerSaid, now: float) -> None:
+    def _told_of(self, ev: i.PeerSaid, now: float) -> None:
         try:
             word = self.hearsay.hear(ev.data, now)
         except ValueError as error:
-            return self.acts.append(Log(f"router {ev.sender} sent {error}"))
+            return self.acts.append(i.Log(f"router {ev.sender} sent {error}"))
         if isinstance(word, Slow) and (w := self.workers.get(word.server)) is not None:
             w.backlog.told(word.wait, now)
-            w.wait, w.wait_at = max(word.wait, self._wait(w, now)), now
+            w.wait, w.wait_at = max(word.wait, self.waits.at(w, now)), now
         elif isinstance(word, Reading):
             for w in [self.workers[n] for n in word.servers if n in self.workers]:
                 w.backlog.add(word.work, now)
                 self.kept.used(w.info.id, word.text, now)
 
-    def _level(self, ev: ServiceLevel, now: float) -> None:
+    def _level(self, ev: i.ServiceLevel, now: float) -> None:
         self.service = ev
 
-    def _took(self, ev: WarmRates, now: float) -> None:
+    def _took(self, ev: i.WarmRates, now: float) -> None:
         self.slow_start.took.update(ev.rates)
 
-    def _listed(self, ev: ServersListed, now: float) -> None:
-        if ev.kind is ListKind.FAILED:  # ask again, later each time; the old list stays good meanwhile
+    def _listed(self, ev: i.ServersListed, now: float) -> None:
+        if ev.kind is i.ListKind.FAILED:  # ask again, later each time; the old list stays good meanwhile
             self.ask_at = now + self.ask_wait if self.s.subscribe else math.inf
             self.ask_wait = min(2 * self.ask_wait, self.s.ask_within / 2)
             return
@@ -156,7 +155,7 @@
             if w is None:
                 if not 0 <= info.kind < len(self.s.roles):
                     continue
-                listed = now if ev.kind is ListKind.CHANGES else -math.inf
+                listed = now if ev.kind is i.ListKind.CHANGES else -math.inf
                 w = self.workers[info.id] = Worker(info, self.s.roles[info.kind], now, listed)
                 w.cold_level = self.random.random() + self.slow_start.able(w, now)
             elif info.started != w.info.started and info.started is not None:  # a new process
@@ -165,24 +164,24 @@
                 w.cold_level = self.random.random() + self.slow_start.able(w, now)
                 self.kept.lost(info.id)
             w.info = info
-            w.gone_at = now if info.state is ServerState.GONE else math.inf
+            w.gone_at = now if info.state is i.ServerState.GONE else math.inf
         for w in self.workers.values():
-            if ev.kind is not ListKind.CHANGES and w.info.id not in named:
-                w.info, w.gone_at = w.info._replace(state=ServerState.GONE), min(now, w.gone_at)
+            if ev.kind is not i.ListKind.CHANGES and w.info.id not in named:
+                w.info, w.gone_at = w.info._replace(state=i.ServerState.GONE), min(now, w.gone_at)
         self.hearsay.listed(self.workers)
         self.places.listed(self.workers.values())
         self.ranks.servers({n: self.places.weight(w) for n, w in self.workers.items()})
-        lean = [self.ranks.weights[n] for n, w in self.workers.items() if w.role is Role.READER]
+        lean = [self.ranks.weights[n] for n, w in self.workers.items() if w.role is i.Role.READER]
         self.lean = sum(lean) / max(1, len(lean))
 
-    def _gone(self, ev: ClientGone, now: float) -> None:
+    def _gone(self, ev: i.ClientGone, now: float) -> None:
         req = self.requests.get(ev.id)
         if req is not None and not req.done:
             self.leaving[req.tenant] += LEAVE_GAIN * (1.0 - self.leaving[req.tenant])
             self.leave_age[req.tenant] += GAIN * (now - req.arrived - self.leave_age[req.tenant])
             self._close(req)
 
-    def _arrived(self, ev: RequestArrived, now: float) -> None:
+    def _arrived(self, ev: i.RequestArrived, now: float) -> None:
         aim = self.s.classes[ev.cls].aim_of(ev.prompt_tokens)
         tenant = min(ev.tenant, len(self.leaving) - 1)
         if self.leaving[tenant] > LEAVE_SHARE:
@@ -193,7 +192,7 @@
         req = self.requests[ev.id] = Request(ev, tenant, now, now + ev.patience, now + aim)
         self.popularity.came(ev.prefix, now)
         req.cst = self.sessions[ev.session].cst if ev.session in self.sessions else 0.0
-        self.gap, self.came = self.gap + SLOW_GAIN * (min(now - self.came, COMMON_MAX) - self.gap), now
+        self.waits.arrived(now)
         self.retries = min(RETRY_CAP, self.retries + RETRY_RATIO)
         self.probes = min(PROBE_BURST, self.probes + PROBES_A_TURN)
         old, size = self.class_tokens[ev.cls], ev.prompt_tokens + ev.max_tokens / 2
@@ -207,7 +206,7 @@
         if not req.over:
             heapq.heappush(self.by_lift, (now + LIFT * req.cst, self.serial, req))
 
-    def _started(self, ev: StreamStarted, now: float) -> None:
+    def _started(self, ev: i.StreamStarted, now: float) -> None:
         req, a = self._attempt(ev.id, ev.attempt)
         if req is None or a is None or not a.live or a.streaming:
             return
@@ -225,7 +224,7 @@
         elif w.streams > LIMIT_NEAR * self._limit(w) > LIMIT_NEAR:
             w.limit = self._limit(w) + 1.0 / self._limit(w)
 
-    def _ended(self, ev: AttemptEnded, now: float) -> None:
+    def _ended(self, ev: i.AttemptEnded, now: float) -> None:
         req, a = self._attempt(ev.id, ev.attempt)
         if req is None or a is None or not a.live:
             return
@@ -233,38 +232,38 @@
         w.unbook(a)
         self.streams[w.role] -= not a.read
         self._heard(w, ev.load, now)
-        if ev.outcome in (Outcome.READ, Outcome.OK):
+        if ev.outcome in (i.Outcome.READ, i.Outcome.OK):
             self._good(w, now)
-            self._read_done(req, a, ev, now) if ev.outcome is Outcome.READ else self._served(req, a, ev)
-        elif ev.outcome is Outcome.FULL:
+            self._read_done(req, a, ev, now) if ev.outcome is i.Outcome.READ else self._served(req, a, ev)
+        elif ev.outcome is i.Outcome.FULL:
             w.life = now
             if ev.note == 1:  # it may be cut off and not gone, and would stay pinned at its reader
-                self.acts.append(ReleaseState(ev.id))
+                self.acts.append(i.ReleaseState(ev.id))
                 req.state = None
             else:
                 self._cut(w)
-        elif ev.outcome is Outcome.TIMED_OUT and w.life > a.sent and not a.streaming:
+        elif ev.outcome is i.Outcome.TIMED_OUT and w.life > a.sent and not a.streaming:
             self._learn_wait(w, ev.latency, now, a.wait)  # slow, not silent: others were answered
-        elif ev.outcome not in (Outcome.CANCELED, Outcome.NOT_SENT):
-            still = a.streaming and ev.outcome is Outcome.TIMED_OUT
-            self._bad(w, now, still or ev.outcome is Outcome.UNREACHABLE)
-            if ev.outcome in (Outcome.UNREACHABLE, Outcome.TIMED_OUT) and not a.streaming:
+        elif ev.outcome not in (i.Outcome.CANCELED, i.Outcome.NOT_SENT):
+            still = a.streaming and ev.outcome is i.Outcome.TIMED_OUT
+            self._bad(w, now, still or ev.outcome is i.Outcome.UNREACHABLE)
+            if ev.outcome in (i.Outcome.UNREACHABLE, i.Outcome.TIMED_OUT) and not a.streaming:
                 self.reach.silent(w.info.zone, w.info.id, ev.latency, now)
-            if ev.outcome is Outcome.TIMED_OUT and not a.streaming:
+            if ev.outcome is i.Outcome.TIMED_OUT and not a.streaming:
                 self._tell_wait(w, ev.latency - a.wait, now)
-            if ev.outcome is Outcome.FAILED and (word := self.hearsay.failed(w.info.id, now)):
-                self.acts.append(Tell(word))
-        if ev.outcome is Outcome.CANCELED and not a.streaming:  # it would have waited longer still
-            self._learn_wait(w, max(ev.latency, self._wait(w, now)), now, a.wait)
-        if ev.outcome not in (Outcome.UNREACHABLE, Outcome.NOT_SENT):  # these have reached nobody
+            if ev.outcome is i.Outcome.FAILED and (word := self.hearsay.failed(w.info.id, now)):
+                self.acts.append(i.Tell(word))
+        if ev.outcome is i.Outcome.CANCELED and not a.streaming:  # it would have waited longer still
+            self._learn_wait(w, max(ev.latency, self.waits.at(w, now)), now, a.wait)
+        if ev.outcome not in (i.Outcome.UNREACHABLE, i.Outcome.NOT_SENT):  # these have reached nobody
             req.state_since = now
         req.done = req.done or ev.closed
         if req.done:
             self._drop(req)
-        elif ev.outcome is not Outcome.OK and not req.out:
+        elif ev.outcome is not i.Outcome.OK and not req.out:
             self._further(req, now)
 
-    def _read_done(self, req: Request, a: Attempt, ev: AttemptEnded, now: float) -> None:
+    def _read_done(self, req: Request, a: Attempt, ev: i.AttemptEnded, now: float) -> None:
         w = a.server
         fresh = max(0.0, req.ev.prompt_tokens - ev.note)
         self.paces.learn(w.role, fresh, ev.latency)
@@ -279,38 +278,12 @@
         req.state = w
         self._remember(req, w, now)
 
-    def _told(self, w: Worker) -> bool:
-        """Whether its queue is judged by what routers tell one another of their reads."""
-        return self.hearsay.speaks and w.role is not Role.WRITER
-
-    def _seldom(self) -> bool:
-        """Whether this router is one of so many that it meets each server too seldom to know it by itself."""
-        return self.gap * (self.places.running[Role.READER] + self.places.running[Role.MIXED]) > WAIT_DECAY
-
-    def _wait(self, w: Worker, now: float) -> float:
-        """Its queue, where routers tell one another of that. Else the wait learnt at w, fading to its role's:
-        one router of many sees each server too rarely."""
-        if self._told(w):
-            return w.backlog.wait(now)
-        fresh = math.exp((w.wait_at - now) / WAIT_DECAY)
-        return fresh * w.wait + (1 - fresh) * self.waits[w.role].faded(now, self._span())
-
-    def _span(self) -> float:
-        return min(COMMON_MAX, max(WAIT_DECAY, COMMON_TURNS * self.gap))
-
     def _learn_wait(self, w: Worker, sample: float, now: float, believed: float = 0.0) -> None:
-        excess = w.backlog.waited(sample, believed, now)
-        wait = self._wait(w, now)
-        w.wait, w.wait_at = wait + GAIN * (sample - wait), now
-        common = self.waits[w.role]  # bounded, for lost answers must not pass for a crowd
-        bounded = min(sample, COMMON_RISE * common.faded(now, self._span()) + COMMON_STEP)
-        common.learn(bounded, now, COMMON_GAIN, self._span())
-        self._tell_wait(w, excess if self._told(w) else sample, now)
+        self._tell_wait(w, self.waits.learn(w, sample, now, believed), now)
 
     def _tell_wait(self, w: Worker, wait: float, now: float) -> None:
-        common = self.waits[w.role].faded(now, self._span())
-        if wait > max(TELL_WAIT, COMMON_RISE * common) and (word := self.hearsay.slow(w.info.id, wait, now)):
-            self.acts.append(Tell(word))
+        if self.waits.stands_out(w, wait, now) and (word := self.hearsay.slow(w.info.id, wait, now)):
+            self.acts.append(i.Tell(word))
 
     def _remember(self, req: Request, w: Worker, now: float) -> None:
         session = self.sessions.pop(req.ev.session, None) or Session()  # kept in the order of last use
@@ -318,7 +291,7 @@
         self.sessions[req.ev.session] = session
         self.kept.used(w.info.id, tag(req.ev.prefix) if req.ev.prefix else NO_TEXT, now)
 
-    def _served(self, req: Request, a: Attempt, ev: AttemptEnded) -> None:
+    def _served(self, req: Request, a: Attempt, ev: i.AttemptEnded) -> None:
         stream = max(0.0, ev.latency - a.first)
         if a.tokens:  # only its end tells what was kept there: of other routers' turns, too
             self.paces.learn(a.server.role, max(0.0, req.ev.prompt_tokens - ev.note), a.first)
@@ -326,17 +299,17 @@
         self.stream_time[req.ev.cls] = mean = mean + SLOW_GAIN * (stream - mean) if mean else stream
         a.server.drag += SLOW_GAIN * (min(DRAG_MAX, stream / max(mean, 1e-3)) - a.server.drag)
         stream = min(stream, self.s.classes[req.ev.cls].token_aim * req.ev.max_tokens)
-        read = sum(b.tokens for b in req.attempts if b.outcome in (Outcome.READ, Outcome.OK))
+        read = sum(b.tokens for b in req.attempts if b.outcome in (i.Outcome.READ, i.Outcome.OK))
         if session := self.sessions.get(req.ev.session):
-            session.cst += stream + read * self.paces.of[Role.READER]
+            session.cst += stream + read * self.paces.of[i.Role.READER]
 
-    def _probed(self, ev: ProbeEnded, now: float) -> None:
+    def _probed(self, ev: i.ProbeEnded, now: float) -> None:
         if (w := self.workers.get(ev.server)) is None:
             return
         w.probing = False
         w.probe_fails = 0 if ev.ok else w.probe_fails + 1
         if ev.ok:
-            w.life = w.life if w.pending and w.role is Role.WRITER else now
+            w.life = w.life if w.pending and w.role is i.Role.WRITER else now
             self._heard(w, ev.load, now)
         elif w.probe_fails >= PROBE_FAILS and self._quiet(w, now):
             self._eject(w, now, silent=True)
@@ -344,14 +317,14 @@
     def _quiet(self, w: Worker, now: float) -> bool:
         """No sign of life for longer than waits explain: lost probes alone would eject the busy ones."""
         read = w.pending[0].tokens * self.paces.of[w.role] if w.pending else 0.0
-        return now - w.life > SILENT_AFTER + SILENT_WAITS * (self._wait(w, now) + read)
+        return now - w.life > SILENT_AFTER + SILENT_WAITS * (self.waits.at(w, now) + read)
 
-    def _heard(self, w: Worker, load: Load | None, now: float) -> None:
+    def _heard(self, w: Worker, load: i.Load | None, now: float) -> None:
         if load is not None:
             w.load, w.load_at, w.own_at_load, w.since_load = load, now, w.streams, 0
-            if w.role is Role.READER and self.tells:
+            if w.role is i.Role.READER and self.tells:
                 wait = self._reported(w) * self.paces.of[w.role]
-                self.waits[w.role].learn(wait, now, COMMON_GAIN, self._span())
+                self.waits.learn_of_role(w.role, wait, now)
 
     def _reported(self, w: Worker) -> float:
         """Tokens told to wait at w. A told backlog counts kept text too, so the part not kept is taken."""
@@ -378,7 +351,7 @@
             return
         w.ejected = now + min(EJECT_MAX, EJECT_BASE * 2**w.ejections)
         w.ejections, w.trial, w.errors = w.ejections + 1, True, 0.0
-        self.acts.append(Log(f"eject {w.info.id} {'silent' if silent else 'failing'} at {now:.1f}"))
+        self.acts.append(i.Log(f"eject {w.info.id} {'silent' if silent else 'failing'} at {now:.1f}"))
         if not silent:
             return
         # What waits there would run into its time-outs; streams there stand still.
@@ -387,14 +360,18 @@
             for n, a in enumerate(req.attempts):
                 if a.server is w and a.live and a.streaming and moves > 0:
                     moves -= 1
-                    self.acts.append(MoveStream(req.ev.id))
-                elif a.server is w and a.live and not a.streaming and self.s.may_cancel and (
-                    a.read or self.s.classes[req.ev.cls].effect is Effect.SAFE
+                    self.acts.append(i.MoveStream(req.ev.id))
+                elif (
+                    a.server is w
+                    and a.live
+                    and not a.streaming
+                    and self.s.may_cancel
+                    and (a.read or self.s.classes[req.ev.cls].effect is i.Effect.SAFE)
                 ):
-                    self.acts.append(CancelAttempt(req.ev.id, n))
+                    self.acts.append(i.CancelAttempt(req.ev.id, n))
 
     def _usable(self, w: Worker, now: float, req: Request | None = None) -> bool:
-        if w.info.state is not ServerState.RUNNING or now < w.ejected:
+        if w.info.state is not i.ServerState.RUNNING or now < w.ejected:
             return False
         if w.trial and (w.reads + w.streams > 0 or (self.s.may_probe and w.life < w.ejected)):
             return False
@@ -403,15 +380,17 @@
         return self.slow_start.room(w, self._peers(w), now) >= self._weight(req)
 
     def _peers(self, w: Worker) -> list[Worker]:
-        return [p for p in self.workers.values() if p.role is w.role and p.info.state is ServerState.RUNNING]
+        return [
+            p for p in self.workers.values() if p.role is w.role and p.info.state is i.ServerState.RUNNING
+        ]
 
-    def pool(self, role: Role, now: float, req: Request | None = None) -> list[Worker]:
+    def pool(self, role: i.Role, now: float, req: Request | None = None) -> list[Worker]:
         tried = [a.server for a in req.attempts] if req else []
         pool = [w for w in self.workers.values() if w.role is role and w not in tried]
         pool = [w for w in pool if self._usable(w, now, req)]
         if cut_off := self.reach.cut_off(now):
             pool = [w for w in pool if w.info.zone not in cut_off] or pool
-        if req is not None and self.s.classes[req.ev.cls].effect is Effect.UNSAFE:
+        if req is not None and self.s.classes[req.ev.cls].effect is i.Effect.UNSAFE:
             return [w for w in pool if not self._in_doubt(w, now)] or pool
         return pool
 
@@ -419,7 +398,7 @@
         """It failed us or another router lately, or is on trial after that. Guards turns that cannot be
         repeated against servers that fail all they get; others find out how these do. Reads do nothing."""
         failing = (w.trial or w.errors > DOUBT) and now - w.failed_at < DOUBT_FOR
-        return w.role is not Role.READER and (failing or self.hearsay.doubted(w.info.id, now))
+        return w.role is not i.Role.READER and (failing or self.hearsay.doubted(w.info.id, now))
 
     def _weight(self, req: Request) -> float:
         """A send's work against the mean over classes."""
@@ -463,7 +442,7 @@
 
     def _free(self, mixed: bool, now: float) -> float:
         """Smoothed room over the writers (or the mixed servers), less what we have on its way there."""
-        if not (pool := self.pool(Role.MIXED if mixed else Role.WRITER, now)):
+        if not (pool := self.pool(i.Role.MIXED if mixed else i.Role.WRITER, now)):
             return 0.0
         raw = self.all_room(pool, now)
         old, part = self.room[mixed], 1 - math.exp(-(now - self.room_at) / SMOOTHING)
@@ -486,11 +465,11 @@
         free = {True: self._free(True, now), False: self._free(False, now) - reading}
         self.room_at = now
         # Reading slows mixed servers' answers, so it is held to a part of their time, all taken together.
-        both = [w for w in self.workers.values() if w.role is Role.MIXED]
-        reads = self.reading[Role.MIXED].faded(now, WORK_MEMORY) * self.s.instances
-        if both and self._told(both[0]):
+        both = [w for w in self.workers.values() if w.role is i.Role.MIXED]
+        reads = self.reading[i.Role.MIXED].faded(now, WORK_MEMORY) * self.s.instances
+        if both and self.waits.told(both[0]):
             reads = sum(w.backlog.share(now) for w in both)
-        busy = reads / max(1, self.places.running[Role.MIXED])
+        busy = reads / max(1, self.places.running[i.Role.MIXED])
         free[True] *= max(0.0, 1 - busy / READ_SHARE)
         idle = not any(w.reads or w.streams for w in self.workers.values())
         # Part of a place is given by chance, else what is too little for each router stays unused.
@@ -513,8 +492,8 @@
     def _route(self, req: Request, free: dict[bool, float], now: float) -> bool | None:
         room, last = {m: max(0.0, free[m]) for m in free}, self._last(req)
         first = self.random.random() * (room[True] + room[False]) < room[True]
-        if last is not None and room[last.role is Role.MIXED] > 0:
-            first = last.role is Role.MIXED
+        if last is not None and room[last.role is i.Role.MIXED] > 0:
+            first = last.role is i.Role.MIXED
         ways = []
         for mixed in (first, not first) if room[not first] > 0 else (first,):
             w, part = self._reader(req, mixed, req.aim, now)
@@ -526,8 +505,8 @@
             self._finish(req, "no reader in time")
             return None
         w = min(ways, key=lambda way: way[0])[1]
-        self._send(req, w, now, read=w.role is Role.READER)
-        return w.role is Role.MIXED
+        self._send(req, w, now, read=w.role is i.Role.READER)
+        return w.role is i.Role.MIXED
 
     def _last(self, req: Request) -> Worker | None:
         session = self.sessions.get(req.ev.session)
@@ -547,8 +526,8 @@
         pace = self.paces.of[w.role]
         own = sum(a.tokens for a in w.pending) * pace
         age = w.oldest(now) - (w.pending[0].tokens * pace if w.pending else 0.0)
-        wait = max(own, age, self._wait(w, now))
-        if self._told(w):
+        wait = max(own, age, self.waits.at(w, now))
+        if self.waits.told(w):
             pace *= w.backlog.stretch(now)
         elif w.load is not None and now - w.load_at < REPORT_TTL:
             wait = max(wait, self._reported(w) * pace * math.exp((w.load_at - now) / WAIT_DECAY))
@@ -558,7 +537,7 @@
         """The session's last reader, else the hashed home, else the next in hash order; one over LOAD_BOUND
         times the median of our reads is passed over. Departure: so is one whose read takes over COMFORT of
         the time left, for the quickest of its homes and SPARE_HOMES more; elsewhere it would be read anew."""
-        pool = self.pool(Role.MIXED if mixed else Role.READER, now, req)
+        pool = self.pool(i.Role.MIXED if mixed else i.Role.READER, now, req)
         if mixed:  # a beginning's home must not fill past its own room: its answers would crawl (i63487d)
             pool = self._roomy(pool, now) or pool
         if not pool:
@@ -568,11 +547,13 @@
         pool.sort(key=lambda w: order[w.info.id])
         homes = self.popularity.homes(req.ev.prefix, len(pool), now)
         pool[:homes] = sorted(pool[:homes], key=lambda w: rank(req.ev.session, w.info.id), reverse=True)
-        told = self._told(pool[0]) and self._seldom()
+        told = self.waits.told(pool[0]) and self.waits.seldom(
+            self.places.running[i.Role.READER] + self.places.running[i.Role.MIXED]
+        )
         near = homes + (TOLD_SPARE if told else SPARE_HOMES)
         pool = pool[:near] + [w for w in pool[near:] if w is last]
         pool.sort(key=lambda w: w is not last)
-        fetch = 0.0 if mixed else self.waits[Role.WRITER].faded(now, self._span())
+        fetch = 0.0 if mixed else self.waits.of_role(i.Role.WRITER, now)
         margin = TOLD_MARGIN if told else AIM_MARGIN
         left = (min((limit - now) * margin, req.deadline - now) - fetch) * (1 - OVER_MARGIN * req.over)
         expected = [self._expected(req, w, now) for w in pool]
@@ -601,7 +582,7 @@
         """Two random writers for a state at home. Departure: from its cell, then zone, as links are slow and
         paid for; but only as large a part as the place has of all writers, the rest by chance where there are
         more. Guards against full near writers when few waits are seen; from the list alone, so it adds up."""
-        pool = self.pool(Role.WRITER, now, req) or self.pool(Role.MIXED, now, req)
+        pool = self.pool(i.Role.WRITER, now, req) or self.pool(i.Role.MIXED, now, req)
         pool = self._roomy(pool, now) or pool
         if home is not None:
             cell, zone = self.places.cell(home), self.places.zone(home)
@@ -634,29 +615,29 @@
         if len(req.attempts) >= self.s.max_attempts or req.out:
             return False
         cls, ran = self.s.classes[req.ev.cls], req.ran
-        if cls.effect is Effect.SAFE or not ran:
+        if cls.effect is i.Effect.SAFE or not ran:
             return True
-        if cls.effect is Effect.UNSAFE or now - ran[0].sent > cls.dedup_window - ON_ITS_WAY:
+        if cls.effect is i.Effect.UNSAFE or now - ran[0].sent > cls.dedup_window - ON_ITS_WAY:
             return False
         first = ran[0].server.info
-        same = w.info.zone == first.zone if cls.group is Group.ZONE else w.info.cell == first.cell
-        return cls.group is Group.ALL or same
+        same = w.info.zone == first.zone if cls.group is i.Group.ZONE else w.info.cell == first.cell
+        return cls.group is i.Group.ALL or same
 
     def _send(self, req: Request, w: Worker, now: float, read: bool) -> None:
-        fetches = w.role is Role.WRITER or (w.role is Role.MIXED and req.state is not None)
+        fetches = w.role is i.Role.WRITER or (w.role is i.Role.MIXED and req.state is not None)
         fresh = 0.0 if fetches else self._fresh_tokens(req, w)
-        expect = self._expected(req, w, now) if fresh or read else self._wait(w, now)
+        expect = self._expected(req, w, now) if fresh or read else self.waits.at(w, now)
         least, times = READ_TIMEOUT if read else WRITE_TIMEOUT
         timeout = min(least + times * expect, max(0.05, req.deadline - now))
-        if req.attempts and req.attempts[-1].outcome is not Outcome.READ:
+        if req.attempts and req.attempts[-1].outcome is not i.Outcome.READ:
             self.retries -= 1
         a = Attempt(w, read, now, fresh, expect)
         if not fetches:
             work = fresh * self.paces.of[w.role]
             a.wait, a.mark = w.backlog.wait(now), w.backlog.add(work, now)
-            if self._told(w):
+            if self.waits.told(w):
                 word = self.hearsay.reading(w.info.id, work, req.ev.prefix, self.random.random())
-                self.acts += [Tell(word)] if word else []
+                self.acts += [i.Tell(word)] if word else []
         req.attempts.append(a)
         w.book(a)
         self.streams[w.role] += not read
@@ -664,9 +645,9 @@
         w.work.bump(weight / WORK_MEMORY, now, WORK_MEMORY)
         w.cold_level -= weight
         self.reading[w.role].bump(fresh * self.paces.of[w.role] / WORK_MEMORY, now, WORK_MEMORY)
-        if w.role is Role.MIXED:
+        if w.role is i.Role.MIXED:
             self._remember(req, w, now)
-        self.acts.append(Send(req.ev.id, w.info.id, timeout))
+        self.acts.append(i.Send(req.ev.id, w.info.id, timeout))
         if read and self.steered:
             req.pair = self._pair(req, w, now)
             for p in req.pair:
@@ -676,7 +657,7 @@
 
     def _further(self, req: Request, now: float) -> None:
         """A released request with nothing out: hand its state over, read it (again), or end it."""
-        first = req.attempts[-1].outcome is Outcome.READ
+        first = req.attempts[-1].outcome is i.Outcome.READ
         if req.deadline - now < LAST_CALL or len(req.attempts) >= self.s.max_attempts:
             return self._finish(req, "out of time" if req.deadline - now < LAST_CALL else "out of attempts")
         if not first and self.retries < 1:
@@ -689,7 +670,7 @@
             if waits and w is None:
                 return None  # the tick looks again while the state may wait
             return self._finish(req, "no writer")
-        mixed = req.attempts[-1].server.role is Role.MIXED
+        mixed = req.attempts[-1].server.role is i.Role.MIXED
         for whole in (mixed, not mixed):
             w = self._reader(req, whole, req.deadline, now)[0]
             if w is not None and self._may_send(req, w, now):
@@ -701,14 +682,18 @@
         self.counts[why] = self.counts.get(why, 0) + 1
         self.leaving[req.tenant] *= 1 - LEAVE_FADE  # a bounded aim must not keep itself up
         cls = self.s.classes[req.ev.cls]
-        if not req.ran or cls.effect is Effect.SAFE or (cls.effect, cls.group) == (Effect.KEYED, Group.ALL):
+        if (
+            not req.ran
+            or cls.effect is i.Effect.SAFE
+            or (cls.effect, cls.group) == (i.Effect.KEYED, i.Group.ALL)
+        ):
             after = min(self.random.uniform(*RETRY_AFTER), self.s.max_retry_after)
             if self.service.name:  # spread below the longest that clients follow, later at a worse level
                 least, most = self.service.retry_after
                 after = self.random.uniform(least / most, 1.0) * min(most, self.s.max_retry_after)
-            self.acts.append(Refuse(req.ev.id, after if self.s.retry_advice else 0.0, gave_way))
+            self.acts.append(i.Refuse(req.ev.id, after if self.s.retry_advice else 0.0, gave_way))
         else:
-            self.acts.append(Fail(req.ev.id))
+            self.acts.append(i.Fail(req.ev.id))
         self._close(req)
 
     def _close(self, req: Request) -> None:
@@ -716,13 +701,13 @@
         self.held, req.held = self.held - req.held, False
         if self.s.may_cancel:
             waits = [n for n, a in enumerate(req.attempts) if a.live and not a.streaming]
-            self.acts += [CancelAttempt(req.ev.id, n) for n in waits]
+            self.acts += [i.CancelAttempt(req.ev.id, n) for n in waits]
         self._drop(req)
 
     def _drop(self, req: Request) -> None:
         if not req.out:
             if req.state is not None:
-                self.acts.append(ReleaseState(req.ev.id))
+                self.acts.append(i.ReleaseState(req.ev.id))
                 req.state = None
             self.requests.pop(req.ev.id, None)
 
@@ -732,16 +717,16 @@
 
     def _set_timer(self) -> None:
         self.timer += 1
-        self.acts.append(SetTimer(TICK, self.timer))
+        self.acts.append(i.SetTimer(TICK, self.timer))
 
-    def _tick(self, ev: TimerFired, now: float) -> None:
+    def _tick(self, ev: i.TimerFired, now: float) -> None:
         if ev.token != self.timer:
             return
         self._set_timer()
         if now >= self.ask_at:
             self.ask_at = math.inf
-            self.acts.append(Subscribe())
-        fetch = self.waits[Role.WRITER].faded(now, self._span())
+            self.acts.append(i.Subscribe())
+        fetch = self.waits.of_role(i.Role.WRITER, now)
         for req in list(self.requests.values()):
             if req.held:
                 if now + fetch > min(req.aim, req.deadline) - LAST_CALL:
@@ -755,7 +740,7 @@
         if self.timer % LOOK_EVERY == 0:
             self._probes(now)
         if self.counts and now - self.log_at >= LOG_EVERY:
-            self.acts.append(Log("; ".join(f"{why}: {n}" for why, n in self.counts.items())))
+            self.acts.append(i.Log("; ".join(f"{why}: {n}" for why, n in self.counts.items())))
             self.counts, self.log_at = {}, now
 
     def _forget(self, now: float) -> None:
@@ -776,10 +761,10 @@
         stale: list[Worker] = []
         for w in self.workers.values():
             late = w.oldest(now) > SILENT_AFTER and self._quiet(w, now)
-            overdue = w.oldest(now) > SILENT_TIMES * (SILENT_AFTER + self._wait(w, now))
-            if late and overdue and w.role is Role.WRITER:  # though it may answer probes
+            overdue = w.oldest(now) > SILENT_TIMES * (SILENT_AFTER + self.waits.at(w, now))
+            if late and overdue and w.role is i.Role.WRITER:  # though it may answer probes
                 self._eject(w, now, silent=True)
-            if w.probing or not self.s.may_probe or w.info.state is not ServerState.RUNNING:
+            if w.probing or not self.s.may_probe or w.info.state is not i.ServerState.RUNNING:
                 continue
             since = now - w.probe_at
             back = w.trial and now >= w.ejected and w.life < w.ejected
@@ -797,4 +782,4 @@
     def _probe(self, w: Worker, now: float) -> None:
         if self.s.may_probe and not w.probing:
             w.probing, w.probe_at = True, now
-            self.acts.append(Probe(w.info.id))
+            self.acts.append(i.Probe(w.info.id))
--- a/hopshed/handover.py
+++ b/hopshed/handover.py
@@ -72,10 +72,10 @@
         sessions=list(c.sessions.items())[-SESSIONS_MOST:],
         kept=[(n, key, used) for (n, key), used in list(c.kept.uses.items())[-KEPT_MOST:]],
         seen=list(c.popularity.seen.items()),
-        waits=c.waits,
+        waits=c.waits.by_role,
         pace=c.paces.of,
         paced=c.paces.learnt,
-        means=(c.mean_prompt, c.mean_fresh, c.context, c.gap),
+        means=(c.mean_prompt, c.mean_fresh, c.context, c.waits.gap),
         by_class=list(zip(c.stream_time, c.class_tokens, strict=True)),
         by_tenant=list(zip(c.leaving, c.leave_age, strict=True)),
         quotas=[(bucket.level, bucket.at) for bucket in c.quotas.buckets],
@@ -96,9 +96,9 @@
             worker.work = known.work.get(number, Estimate())
     c.sessions, c.popularity.seen = dict(known.sessions), dict(known.seen)
     c.kept.uses = {(number, key): used for number, key, used in known.kept}
-    c.waits, c.came = c.waits | known.waits, now
+    c.waits.by_role, c.waits.came = c.waits.by_role | known.waits, now
     c.paces.resume(known.pace, known.paced)
-    c.mean_prompt, c.mean_fresh, c.context, c.gap = known.means
+    c.mean_prompt, c.mean_fresh, c.context, c.waits.gap = known.means
     c.stream_time, c.class_tokens = (list(part) for part in zip(*known.by_class, strict=True))
     c.leaving, c.leave_age = (list(part) for part in zip(*known.by_tenant, strict=True))
     for bucket, told in zip(c.quotas.buckets, known.quotas, strict=False):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -418,7 +418,7 @@
             sent += 1
     assert sent > 5
     b.c.paces.learnt, before = 50, dict(b.c.paces.of)
-    b.c.waits[Role.READER].value, b.c.waits[Role.READER].at = 9.0, b.now
+    b.c.waits.by_role[Role.READER].value, b.c.waits.by_role[Role.READER].at = 9.0, b.now
     b.arrive("late")
     assert b.c.paces.of == before  # not one that many reads taught: it fell to nothing under load
 
@@ -455,7 +455,7 @@
     w = b.c.workers[11]
     for n in range(20):
         b.c._learn_wait(w, 2.0 if n % 4 == 0 else 0.05, b.now)
-    assert b.c.waits[Role.WRITER].faded(b.now, 6.0) < 0.4
+    assert b.c.waits.by_role[Role.WRITER].faded(b.now, 6.0) < 0.4
 
 
 def test_a_small_tenant_at_one_of_many_routers_is_within_its_share():
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -282,7 +282,7 @@
     home = home_of("manual")
     for gap, keeps in ((0.1, True), (1.0, False)):  # s between its turns, eight readers
         b = fleet_of()
-        b.c.gap, b.c.came = gap, b.now - gap
+        b.c.waits.gap, b.c.waits.came = gap, b.now - gap
         told(b, home, 0.2)
         b.arrive("r", prefix="manual", prefix_tokens=900.0, prompt_tokens=1000.0)
         assert (b.attempts["r"][0] == home) is keeps
@@ -308,7 +308,7 @@
 def test_the_longest_prompts_are_not_refused_for_the_length_of_their_read(told_of: bool) -> None:
     """Their read, which is known, may take most of the aim: kowhai's calm+mass answered half of them."""
     b = fleet_of(may_tell=told_of)
-    b.c.gap = 1.0
+    b.c.waits.gap = 1.0
     assert only(b.arrive("long", prompt_tokens=15000.0), Send)  # 1.5 s of 1.6
 
 
@@ -337,7 +337,7 @@
     home = home_of("manual")
     for slow in (False, True):
         b = fleet_of()
-        b.c.gap, b.c.came = 0.1, b.now - 0.1
+        b.c.waits.gap, b.c.waits.came = 0.1, b.now - 0.1
         queue = b.c.workers[home].backlog
         queue.read(queue.add(0.1, b.now), 2.0 if slow else 0.1, 0.1, b.now)
         assert queue.wait(b.now) == 0.0
@@ -349,7 +349,7 @@
     """0.4 s of waiting against 0.28 s of reading that an idle server's other turns would wait for, too."""
     home = home_of("manual")
     b = fleet_of()
-    b.c.gap, b.c.came = 1.0, b.now - 1.0
+    b.c.waits.gap, b.c.waits.came = 1.0, b.now - 1.0
     told(b, home, 0.4, "manual")
     b.arrive("r", prefix="manual", prefix_tokens=2800.0, prompt_tokens=3000.0)
     assert b.attempts["r"] == [home]
