--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -157,11 +157,11 @@
                     continue
                 listed = now if ev.kind is i.ListKind.CHANGES else -math.inf
                 w = self.workers[info.id] = Worker(info, self.s.roles[info.kind], now, listed)
-                w.cold_level = self.random.random() + self.slow_start.able(w, now)
+                self.slow_start.begin(w, self._peers(w), self.random.random(), now)
             elif info.started != w.info.started and info.started is not None:  # a new process
                 w.forget(now)
                 w.info, w.listed = info, now
-                w.cold_level = self.random.random() + self.slow_start.able(w, now)
+                self.slow_start.begin(w, self._peers(w), self.random.random(), now)
                 self.kept.lost(info.id)
             w.info = info
             w.gone_at = now if info.state is i.ServerState.GONE else math.inf
@@ -377,7 +377,7 @@
             return False
         if req is None or not self.slow_start.cold(w, now):
             return True
-        return self.slow_start.room(w, self._peers(w), now) >= self._weight(req)
+        return self.slow_start.room(w, self._peers(w), now)
 
     def _peers(self, w: Worker) -> list[Worker]:
         return [
--- a/hopshed/slow_start.py
+++ b/hopshed/slow_start.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
 from .interface import Role, Settings
 from .state import Worker
 
-SAFETY, FLOOR, LEAST = 0.6, 0.3, 2.0  # part of the budget in use; sends a s where no peer is warm; bucket
+SAFETY = 0.6  # part of the budget in use
+FLOOR = 0.3  # sends a second to each server where no peer is warm
+LEAST = 1.0  # sends that the bucket holds at the least
+EVEN_TIMES = 1.5  # the most that a warm server counts for, against an even share of all
 WORK_MEMORY = 5.0  # s; time constant of the measured rate of work sent to a server
 
 
@@ -27,14 +31,40 @@
         warm = min(1.0, self._age(w, now) / (self.s.cold_time or 1.0))
         return self.s.cold_from + (1 - self.s.cold_from) * warm
 
-    def room(self, w: Worker, peers: Sequence[Worker], now: float) -> float:
-        """Token bucket: our part of what a cold server can take, by what its warm peers get from us. Where it
-        is under one send, a start by chance lets in the routers whose turn it is, so that the sum holds: as
-        large a part of them at once as it has of its capacity: it is warm before each has had its turn."""
-        taken = [p.work.faded(now, WORK_MEMORY) for p in peers if not self.cold(p, now)]
-        warm = sum(taken) / len(taken) if taken else FLOOR / self.s.instances
-        warm = max(warm, self.took.get(w.role, 0.0))  # where all are cold, no peer tells
-        rate = SAFETY * self.s.fall_multiple * self.s.cold_from * warm
+    def warm_rate(self, w: Worker, peers: Sequence[Worker], now: float) -> float:
+        """Sends a second that a warm server of its role takes from us, as its peers show.
+
+        It counts for so many even shares of all sends at most: where few are warm, they are sent everything.
+        """
+        rates = [(p.work.faded(now, WORK_MEMORY), self.cold(p, now)) for p in peers]
+        warm = [rate for rate, cold in rates if not cold]
+        if not warm:
+            taken = FLOOR / self.s.instances
+        else:
+            even = sum(rate for rate, _ in rates) / len(rates)
+            taken = min(sum(warm) / len(warm), EVEN_TIMES * even)
+        return max(taken, self.took.get(w.role, 0.0))  # where all are cold, no peer tells
+
+    def begin(self, w: Worker, peers: Sequence[Worker], draw: float, now: float) -> None:
+        """Set the bucket of a server that has just started; `draw` is uniform from 0 to 1.
+
+        A start by chance lets in the routers whose turn it is, so that the sum over routers holds: as many at
+        once as there is room for by chance, or where this router knows no rates yet, as large a part of them
+        as the server has of its capacity.
+        """
+        able = self.able(w, now)
+        budget = self.s.fall_multiple * able * self.warm_rate(w, peers, now) * self.s.fall_window
+        first = (math.sqrt(budget * self.s.instances) + 1.0) / self.s.instances
+        knows_rates = any(p.work.value for p in peers)
+        w.cold_level = draw + (min(able, first) if knows_rates else able)
+
+    def room(self, w: Worker, peers: Sequence[Worker], now: float) -> bool:
+        """Whether a cold server may get one more send from us.
+
+        A token bucket, filled with our part of what it can take. A send that weighs more than one is paid for
+        afterwards.
+        """
+        rate = SAFETY * self.s.fall_multiple * self.able(w, now) * self.warm_rate(w, peers, now)
         most = max(rate * self.s.fall_window / 2, LEAST)
         w.cold_level, w.cold_at = min(w.cold_level + rate * (now - w.cold_at), most), now
-        return w.cold_level
+        return w.cold_level >= 1.0
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, TypeVar
+
 from hopshed.control import Controller
 from hopshed.interface import (
     AttemptEnded,
     Effect,
+    Event,
     Group,
     ListKind,
     Outcome,
@@ -21,14 +25,15 @@
     TimerFired,
 )
 
+T = TypeVar("T")
 ROLES = (Role.READER, Role.WRITER, Role.MIXED)
 
 
-def settings(effect=Effect.SAFE, group=Group.ALL, **kw):
+def settings(effect: Effect = Effect.SAFE, group: Group = Group.ALL, **kw: Any) -> Settings:
     cls = RequestClass(
         aim=1.0, aim_per_1k=0.04, token_aim=0.06, patience=5.0, effect=effect, group=group, dedup_window=2.0
     )
-    base = {
+    base: dict[str, Any] = {
         "classes": (cls,),
         "roles": ROLES,
         "memory_tokens": (200000.0,) * 3,
@@ -45,7 +50,14 @@
     return Settings(**(base | kw))
 
 
-def server(sid, kind, zone=0, cell=0, state=ServerState.RUNNING, started=None):
+def server(
+    sid: int,
+    kind: int,
+    zone: int = 0,
+    cell: int = 0,
+    state: ServerState = ServerState.RUNNING,
+    started: float | None = None,
+) -> Server:
     return Server(sid, kind, zone, cell, state, started)
 
 
@@ -55,15 +67,21 @@
 class Bench:
     """Feeds events and remembers sends, so that a script can say what happened to the last one."""
 
-    def __init__(self, fleet=FLEET, seed=1, make=Controller, **kw):
+    def __init__(
+        self,
+        fleet: Sequence[Server] = FLEET,
+        seed: int = 1,
+        make: Callable[[Settings, int], Controller] = Controller,
+        **kw: Any,
+    ) -> None:
         self.c = make(settings(**kw), seed)
         self.now = 100.0
-        self.attempts = {}
-        self.timer = None
-        self.log = []
+        self.attempts: dict[str, list[int]] = {}
+        self.timer = (0.0, 0)
+        self.log: list[Any] = []
         self.do(ServersListed(ListKind.SAVED, tuple(fleet)))
 
-    def do(self, *events, at=None):
+    def do(self, *events: Event, at: float | None = None) -> list[Any]:
         if at is not None:
             self.now = at
         acts = self.c.handle(self.now, list(events))
@@ -75,7 +93,7 @@
         self.log += acts
         return [a for a in acts if not isinstance(a, SetTimer)]
 
-    def arrive(self, rid, session=None, patience=5.0, **kw):
+    def arrive(self, rid: str, session: str | None = None, patience: float = 5.0, **kw: Any) -> list[Any]:
         prompt = kw.pop("prompt_tokens", 1000.0)
         return self.do(
             RequestArrived(
@@ -83,15 +101,17 @@
             )
         )
 
-    def end(self, rid, outcome, after=0.05, closed=False, note=0):
+    def end(
+        self, rid: str, outcome: Outcome, after: float = 0.05, closed: bool = False, note: float = 0
+    ) -> list[Any]:
         self.now += after
         n = len(self.attempts[rid]) - 1
-        return self.do(AttemptEnded(rid, n, self.attempts[rid][n], outcome, after, closed, note))
+        return self.do(AttemptEnded(rid, n, self.attempts[rid][n], outcome, after, closed, int(note)))
 
-    def read(self, rid, after=0.05):
+    def read(self, rid: str, after: float = 0.05) -> list[Any]:
         return self.end(rid, Outcome.READ, after)
 
-    def tick(self, until):
+    def tick(self, until: float) -> list[Any]:
         out = []
         while self.timer[0] <= until:
             self.now = self.timer[0]
@@ -100,5 +120,5 @@
         return out
 
 
-def only(acts, kind):
+def only(acts: Iterable[Any], kind: type[T]) -> list[T]:
     return [a for a in acts if isinstance(a, kind)]
--- a/tests/test_hearsay.py
+++ b/tests/test_hearsay.py
@@ -5,6 +5,7 @@
 import socket
 import time
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
 from helpers import Bench, only, server, settings
@@ -19,8 +20,8 @@
 from yewhook.platform.peers import Peers
 
 
-def hearsay(**kw: object) -> Hearsay:
-    return Hearsay(settings(**({"may_tell": True, "instances": 40} | kw)))
+def hearsay(**kw: Any) -> Hearsay:
+    return Hearsay(settings(**(dict[str, Any](may_tell=True, instances=40) | kw)))
 
 
 def test_a_failure_that_one_has_seen_is_doubted_by_the_others_for_a_while() -> None:
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -4,6 +4,7 @@
 
 from heapq import heappop, heappush
 from random import Random
+from typing import Any
 
 import pytest
 from helpers import Bench, only, server, settings
@@ -26,15 +27,15 @@
 STEP = 0.2  # s, of 40 routers and the helpers' one class
 
 
-def hearsay(*servers: int, **kw: object) -> Hearsay:
-    one = Hearsay(settings(**({"may_tell": True, "instances": 40} | kw)))
+def hearsay(*servers: int, **kw: Any) -> Hearsay:
+    one = Hearsay(settings(**(dict[str, Any](may_tell=True, instances=40) | kw)))
     one.listed(servers)
     return one
 
 
-def fleet_of(**kw: object) -> Bench:
+def fleet_of(**kw: Any) -> Bench:
     """A router of many that knows its readers' pace: 10,000 tokens a second."""
-    b = Bench(FLEET, **({"may_tell": True, "instances": 40} | kw))
+    b = Bench(FLEET, **(dict[str, Any](may_tell=True, instances=40) | kw))
     b.c.paces.resume(dict.fromkeys(Role, 1e-4), 50)
     return b
 
@@ -319,7 +320,7 @@
     worker = b.c.workers[b.attempts["r"][0]]
     told(b, worker.info.id, 0.7)  # three steps
     b.read("r", after=3.0)
-    assert (worker.backlog.queue, worker.backlog.at) == (pytest.approx(0.6), b.now)
+    assert (worker.backlog.queue, worker.backlog.at) == pytest.approx((0.6, b.now))
 
 
 def test_the_first_token_of_a_whole_turn_ends_its_read() -> None:
@@ -330,7 +331,7 @@
     assert worker.role is Role.MIXED
     told(b, worker.info.id, 0.7)  # three steps
     b.do(StreamStarted("r", 0, worker.info.id, 3.0), at=b.now + 3.0)
-    assert (worker.backlog.queue, worker.backlog.at) == (pytest.approx(0.6), b.now)
+    assert (worker.backlog.queue, worker.backlog.at) == pytest.approx((0.6, b.now))
 
 
 def test_a_slow_server_is_passed_over_though_it_has_no_queue() -> None:
