--- a/hopshed/interface.py
+++ b/hopshed/interface.py
@@ -126,8 +126,15 @@
             raise ValueError("settings: memory_tokens must name one figure for each server kind")
         if self.instances < 1 or self.max_attempts < 1:
             raise ValueError("settings: instances and max_attempts must be at least 1")
-        times = [self.ask_within, self.drain_grace, self.cold_time, self.fall_window, self.release_within,
-                 self.answer_slack, self.max_retry_after]
+        times = [
+            self.ask_within,
+            self.drain_grace,
+            self.cold_time,
+            self.fall_window,
+            self.release_within,
+            self.answer_slack,
+            self.max_retry_after,
+        ]
         for c in self.classes:
             times += [c.aim, c.aim_per_1k, c.token_aim, c.patience, c.dedup_window]
         if any(t < 0 for t in times):
@@ -316,6 +323,15 @@
 
 
 Action = (
-    Send | Refuse | Fail | ReleaseState | CancelAttempt | MoveStream | Probe | SetTimer | Subscribe | Log
+    Send
+    | Refuse
+    | Fail
+    | ReleaseState
+    | CancelAttempt
+    | MoveStream
+    | Probe
+    | SetTimer
+    | Subscribe
+    | Log
     | Tell
 )
--- a/hopshed/wire.py
+++ b/hopshed/wire.py
@@ -131,16 +131,31 @@
             flags = int(msg[12] or 0)
             hint = msg[7] / 1000.0 if flags & HINT_BIT and msg[7] else None
             return i.RequestArrived(
-                msg[2], msg[3] or 0, msg[4] or 0, msg[5] or "", (msg[6] or 0.0) / 1000.0, msg[9] or 0.0,
-                msg[8] or None, msg[10] or 0.0, msg[11] or 0.0, hint, bool(flags & RESUMED_BIT),
+                msg[2],
+                msg[3] or 0,
+                msg[4] or 0,
+                msg[5] or "",
+                (msg[6] or 0.0) / 1000.0,
+                msg[9] or 0.0,
+                msg[8] or None,
+                msg[10] or 0.0,
+                msg[11] or 0.0,
+                hint,
+                bool(flags & RESUMED_BIT),
                 bool(flags & REPEAT_BIT),
             )
         case "flowing":
             return i.StreamStarted(msg[2], msg[3], msg[4], (msg[5] or 0.0) / 1000.0)
         case "finished":
             return i.AttemptEnded(
-                msg[2], msg[3], msg[4], OUTCOMES[msg[5]], (msg[6] or 0.0) / 1000.0, bool(msg[7]),
-                int(msg[8] or 0), load(msg[9], names),
+                msg[2],
+                msg[3],
+                msg[4],
+                OUTCOMES[msg[5]],
+                (msg[6] or 0.0) / 1000.0,
+                bool(msg[7]),
+                int(msg[8] or 0),
+                load(msg[9], names),
             )
         case "hangup":
             return i.ClientGone(msg[2])
--- a/tests/test_hearsay.py
+++ b/tests/test_hearsay.py
@@ -46,8 +46,11 @@
     assert hearsay(**kw).failed(7, 100.0) is None
 
 
-@given(st.binary(max_size=300) | st.binary(min_size=8, max_size=9).map(lambda data: b"F" + data)
-       | st.binary(min_size=9, max_size=9).map(lambda data: b"S" + data))
+@given(
+    st.binary(max_size=300)
+    | st.binary(min_size=8, max_size=9).map(lambda data: b"F" + data)
+    | st.binary(min_size=9, max_size=9).map(lambda data: b"S" + data)
+)
 def test_a_message_is_understood_whole_or_refused(data: bytes) -> None:
     table = hearsay()
     try:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -123,7 +123,10 @@
     d.front._acceptor._accepted = lambda sock: (order.append("client"), received(sock))  # type: ignore[func-returns-value,assignment]
     accept = d.door._accept
     d.service.loop.watch(
-        d.door._listener, 1, lambda mask: (order.append("door"), accept(mask)), first=True  # type: ignore[func-returns-value,arg-type]
+        d.door._listener,
+        1,
+        lambda mask: (order.append("door"), accept(mask)),
+        first=True,  # type: ignore[func-returns-value,arg-type]
     )
     d.parties["operator"] = Party(("127.0.0.1", d.door.port))
     for name in ("client", "operator"):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -132,7 +132,7 @@
 def test_fields_of_a_request_go_on_to_the_worker_but_those_of_one_connection(p: Platform) -> None:
     # A worker knows repeats of a request by its Idempotency-Key; without it, each one ran anew.
     p.play("client send ask Idempotency_Key=k1 X_Own=any Connection=X-Hop X_Hop=no TE=trailers")
-    p.play("reader expect {\"stream\":true}\nreader send read\nwriter expect {\"stream\":true}")
+    p.play('reader expect {"stream":true}\nreader send read\nwriter expect {"stream":true}')
     for name in ("reader", "writer"):
         head = p.parties[name].heard.partition("\r\n\r\n")[0].lower().split("\r\n")[1:]
         fields = dict(line.split(": ", 1) for line in head)
@@ -158,13 +158,16 @@
 
 
 def test_a_stream_that_breaks_ends_without_the_last_chunk(p: Platform) -> None:
-    p.play(begin() + """
+    p.play(
+        begin()
+        + """
         writer send stream
         writer send event text=one
         client expect "one"
         writer reset
         client expect closed
-    """)
+    """
+    )
     assert "0\r\n\r\n" not in p.parties["client"].text
 
 
@@ -188,7 +191,7 @@
     assert writer is not None
     writer.received(b"0\r\n\r\n")
     p.play("wait 0.1\n" + begin("id=r2") + "writer send stream\nwriter send event text=b")
-    p.play("client expect data: \"b\"")
+    p.play('client expect data: "b"')
 
 
 @pytest.mark.parametrize("how", ["reset", "close"])
--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -93,8 +93,6 @@
     play.end()
 
 
-
-
 def ran_once(t: ToolCalls) -> bool:
     """One attempt at the writer, and no more than one final answer for the client's request."""
     return t.parties["writer"].heard.count("chat/completions") == 1 and not t.front.router.lives
@@ -108,15 +106,20 @@
     writer send event text=before
     client expect "event":"before"
 """
-CALLED = BEGIN + """
+CALLED = (
+    BEGIN
+    + """
     writer send call
     client expect "method":"notifications/tool_call"
     tool expect "method":"tools/call","params":{"name":"repair-history","arguments":{"lift":"B2"}}
 """
+)
 
 
 def test_a_tool_call_is_relayed_in_the_running_stream_and_seen_in_order(t: ToolCalls) -> None:
-    t.play(CALLED + """
+    t.play(
+        CALLED
+        + """
         tool send found
         client expect "method":"notifications/tool_result"
         writer expect {"jsonrpc":"2.0","id":7,"result":{"content":[{"text":"replaced"}]}}
@@ -124,11 +127,12 @@
         writer send served
         client expect "event":"after"
         client expect {"jsonrpc":"2.0","id":1,"result":{"status":"served"}}
-    """)
+    """
+    )
     assert not t.front.router.lives
     # A second request uses the same connections: each exchange leaves them clean.
     t.play("client send ask id=2\nreader expect chat\nreader send read id=2\nwriter expect chat")
-    t.play("writer send event text=x\nwriter send served id=2\nclient expect \"id\":2,\"result\"")
+    t.play('writer send event text=x\nwriter send served id=2\nclient expect "id":2,"result"')
     assert [t.parties[n].connections for n in ("reader", "writer", "tool")] == [1, 1, 1]
 
 
@@ -142,7 +146,9 @@
     ],
 )
 def test_a_tool_that_fails_is_told_and_the_stream_can_go_on(t: ToolCalls, trouble: str, code: int) -> None:
-    t.play(CALLED + f"""
+    t.play(
+        CALLED
+        + f"""
         {trouble}
         writer expect "id":7,"error":{{"code":{code}
         client expect "method":"notifications/tool_result"
@@ -150,7 +156,8 @@
         writer send served
         client expect "event":"sorry"
         client expect "id":1,"result"
-    """)
+    """
+    )
     assert t.parties["writer"].connections == t.parties["tool"].connections == 1
 
 
@@ -183,7 +190,9 @@
 
 
 def test_a_late_reply_and_a_duplicate_are_ignored(t: ToolCalls) -> None:
-    t.play(CALLED + """
+    t.play(
+        CALLED
+        + """
         wait 2.1
         tool expect "method":"notifications/cancelled"
         tool send found text=late
@@ -198,32 +207,36 @@
         client expect "event":"end"
         client expect "id":1,"result"
         wait 0.1
-    """)
+    """
+    )
     told = t.parties["writer"].text + t.parties["client"].text
     assert "late" not in told and "twice" not in told
 
 
 def test_a_client_that_leaves_during_a_call_cancels_it_at_worker_and_tool(t: ToolCalls) -> None:
-    t.play(CALLED + """
+    t.play(
+        CALLED
+        + """
         client close
         tool expect "method":"notifications/cancelled","params":{"requestId":1
         tool expect closed
         writer expect "method":"notifications/cancelled","params":{"requestId":1
         writer expect closed
         wait 1
-    """)
+    """
+    )
     assert not t.front.router.lives and t.parties["writer"].connections == 1
 
 
 def test_a_cancelled_request_gets_no_answer_and_the_connection_stays(t: ToolCalls) -> None:
-    t.play(CALLED + 'client send cancel id=1\nwriter expect cancelled\ntool expect cancelled\nwait 0.1')
+    t.play(CALLED + "client send cancel id=1\nwriter expect cancelled\ntool expect cancelled\nwait 0.1")
     assert '"id":1' not in t.parties["client"].text
     t.play('client send method name=ping\nclient expect "id":5,"result":{}')
 
 
 def test_a_worker_that_withdraws_its_call_cancels_it_at_the_tool(t: ToolCalls) -> None:
     t.play(CALLED + "writer send cancel id=7\ntool expect cancelled\nclient expect tool_result")
-    t.play("writer send event text=x\nwriter send served\nclient expect \"id\":1,\"result\"")
+    t.play('writer send event text=x\nwriter send served\nclient expect "id":1,"result"')
 
 
 @pytest.mark.parametrize("how", ["reset", "close"])
@@ -285,7 +298,7 @@
 
 def test_an_id_in_use_does_not_end_the_request_that_has_it(t: ToolCalls) -> None:
     t.play(BEGIN + 'client send ask\nclient expect "id":null,"error":{"code":-32600')
-    t.play("writer send event text=x\nwriter send served\nclient expect \"id\":1,\"result\"")
+    t.play('writer send event text=x\nwriter send served\nclient expect "id":1,"result"')
 
 
 def test_draining_finishes_what_is_open(t: ToolCalls) -> None:
--- a/yewhook/agent.py
+++ b/yewhook/agent.py
@@ -531,7 +531,6 @@
             "recovery": self.line.status.get("recovery") if self.line is not None else None,
         }
 
-
     def _report_orders(self) -> list[dict[str, Any]]:
         given = filter(None, (self.orders.drain, self.orders.upgrade))
         return [
--- a/yewhook/cli.py
+++ b/yewhook/cli.py
@@ -201,9 +201,7 @@
 
 
 @app.command()
-def status(
-    at: At = AGENT, as_json: Annotated[bool, typer.Option("--json", help="As JSON.")] = False
-) -> None:
+def status(at: At = AGENT, as_json: Annotated[bool, typer.Option("--json", help="As JSON.")] = False) -> None:
     """Show the routers that an agent runs."""
     instances = ask_agent(at, "agent/status")["instances"]
     if as_json:
--- a/yewhook/commands/recovery.py
+++ b/yewhook/commands/recovery.py
@@ -18,9 +18,7 @@
 
 
 @recovery.command()
-def show(
-    at: At = AGENT, as_json: Annotated[bool, typer.Option("--json", help="As JSON.")] = False
-) -> None:
+def show(at: At = AGENT, as_json: Annotated[bool, typer.Option("--json", help="As JSON.")] = False) -> None:
     """Show each router's phase, since when, what it trusts from where, and what it waits for."""
     instances = ask_agent(at, "recovery/show")["instances"]
     if as_json:
--- a/yewhook/front.py
+++ b/yewhook/front.py
@@ -178,9 +178,7 @@
 class RouterFront:
     whose = ""  # clients, in a word
 
-    def __init__(
-        self, loop: Loop, settings: i.Settings, names: Names, ask: Ask, liveness: Liveness
-    ) -> None:
+    def __init__(self, loop: Loop, settings: i.Settings, names: Names, ask: Ask, liveness: Liveness) -> None:
         self.loop, self._settings, self._liveness = loop, settings, liveness
         self.grace = min(GRACE_MOST, max(c.patience for c in settings.classes))
         others = max(1, settings.instances - 1)
--- a/yewhook/operations/form.py
+++ b/yewhook/operations/form.py
@@ -39,15 +39,12 @@
 
 
 def listed(servers: Iterable[tuple[i.Server, Address | None]]) -> list[Listed]:
-    return [
-        Listed(s.id, s.kind, s.zone, s.cell, s.state, s.started, s.weight, place) for s, place in servers
-    ]
+    return [Listed(s.id, s.kind, s.zone, s.cell, s.state, s.started, s.weight, place) for s, place in servers]
 
 
 def servers(entries: Iterable[Listed]) -> list[tuple[i.Server, Address | None]]:
     return [
-        (i.Server(e.id, e.kind, e.zone, e.cell, e.state, e.started, e.weight), e.address)
-        for e in entries
+        (i.Server(e.id, e.kind, e.zone, e.cell, e.state, e.started, e.weight), e.address) for e in entries
     ]
 
 
--- a/yewhook/platform/front.py
+++ b/yewhook/platform/front.py
@@ -119,9 +119,7 @@
         known = [s for s in self.router.servers.values() if s.state is not i.ServerState.GONE]
         listed = form.listed((server, self.registry.addresses.get(server.id)) for server in known)
         router = self.router
-        return form.HandOver(
-            self.loop.now, drained, self.watch.generation, listed, router.told_off, module
-        )
+        return form.HandOver(self.loop.now, drained, self.watch.generation, listed, router.told_off, module)
 
     def take(self, posture: Posture) -> None:
         super().take(posture)
--- a/yewhook/recovery/keeper.py
+++ b/yewhook/recovery/keeper.py
@@ -148,9 +148,7 @@
         if self._generations is not None:
             self._writing.set(self._settings.every, self._write)
 
-    def listed(
-        self, kind: ListKind, listed: tuple[i.Server, ...], generation: int
-    ) -> tuple[i.Server, ...]:
+    def listed(self, kind: ListKind, listed: tuple[i.Server, ...], generation: int) -> tuple[i.Server, ...]:
         """What the core is to take for the register's list."""
         return self.recovery.merge(kind, listed, generation, self._loop.now)
 
@@ -242,5 +240,3 @@
     def close(self) -> None:
         self._timer.cancel()
         self._writing.cancel()
-
-
--- a/yewhook/recovery/recovery.py
+++ b/yewhook/recovery/recovery.py
@@ -57,9 +57,7 @@
     rates: dict[Role, float]  # sends of mean work a second to one of them
 
 
-def usual(
-    turns: float, servers: Mapping[Role, list[int]], sent: Mapping[int, Estimate], now: float
-) -> Usual:
+def usual(turns: float, servers: Mapping[Role, list[int]], sent: Mapping[int, Estimate], now: float) -> Usual:
     """`turns` a second that the router sent on; `sent` = the module's rates of what went to each server."""
     rates = {}
     for role, numbers in servers.items():
@@ -365,6 +363,7 @@
     @staticmethod
     def _part(able: dict[Role, float], before: dict[Role, int]) -> float:
         """What is warm over what there was before, at the scarcer stage."""
+
         def both(of: Mapping[Role, float], role: Role) -> float:
             return of.get(role, 0.0) + of.get(Role.MIXED, 0.0)
 
--- a/yewlab/levels.py
+++ b/yewlab/levels.py
@@ -99,9 +99,7 @@
     ) -> Clients:
         routers = [self.hosted.router]
         settings = site.settings(self.quota)
-        return Clients(
-            self.sim, settings, site.TRAFFIC, self.seed, routers, self.rules, rate, until, phase
-        )
+        return Clients(self.sim, settings, site.TRAFFIC, self.seed, routers, self.rules, rate, until, phase)
 
     @property
     def broken(self) -> tuple[str, ...]:
--- a/yewlab/power.py
+++ b/yewlab/power.py
@@ -230,6 +230,7 @@
 
 def _reached(tallies: dict[int, Tally], part: float, last: int) -> float | None:
     """s until that part of the worth asked for in a window is served, and stays so for a further one."""
+
     def share(second: int) -> float:
         window = Tally.of_classes(2)
         for one in range(second, second + round(WINDOW)):
