--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 	$(PYTHON) -m pytest
 
 lint:
+	$(PYTHON) -m ruff format --check hopshed yewhook yewlab tests
 	$(PYTHON) -m ruff check hopshed yewhook yewlab tests
 	$(PYTHON) -m mypy
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -122,12 +122,12 @@
     received = d.front.clients.accepted
     d.front._acceptor._accepted = lambda sock: (order.append("client"), received(sock))  # type: ignore[func-returns-value,assignment]
     accept = d.door._accept
-    d.service.loop.watch(
-        d.door._listener,
-        1,
-        lambda mask: (order.append("door"), accept(mask)),
-        first=True,  # type: ignore[func-returns-value,arg-type]
-    )
+
+    def heard(mask: int) -> None:
+        order.append("door")
+        accept(mask)
+
+    d.service.loop.watch(d.door._listener, 1, heard, first=True)
     d.parties["operator"] = Party(("127.0.0.1", d.door.port))
     for name in ("client", "operator"):
         d.parties[name].send(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
