--- a/tests/processes/test_rare_moments.py
+++ b/tests/processes/test_rare_moments.py
@@ -9,11 +9,12 @@
 
 import pytest
 
+from hopshed.interface import Role
 from yewlab.processes.clients import Way
 from yewlab.processes.host import Process
 from yewlab.processes.operate import Operators, Play, Waits
 from yewlab.processes.register import Face
-from yewlab.processes.stage import OFFSET, Stage
+from yewlab.processes.stage import FLEET, OFFSET, Stage
 
 MOST = 120.0  # s for one case, on a machine that is busy
 TOLD = 6.0  # s after which a change counts as told, whatever became of the watch
@@ -22,9 +23,11 @@
 class Case:
     """A stage of routers that serve clients, and a script that is played on it."""
 
-    def __init__(self, folder: Path, routers: int, rate: float, **contract: float) -> None:
+    def __init__(
+        self, folder: Path, routers: int, rate: float, fleet: tuple[Role, ...] = FLEET, **contract: float
+    ) -> None:
         figures = {name.replace("_", "-"): value for name, value in contract.items()}
-        self.stage = Stage(folder, routers, seed=11, rate=rate, contract=figures)
+        self.stage = Stage(folder, routers, seed=11, rate=rate, fleet=fleet, contract=figures)
         self.loop, self.operators = self.stage.loop, Operators(self.stage)
 
     def play(self, script: Callable[[], Waits]) -> None:
@@ -134,3 +137,27 @@
         yield 3.0
 
     case.play(script)
+
+
+# Readers and writers only, and more of these than a request may be sent to.
+MANY_WRITERS = (Role.READER,) * 3 + (Role.WRITER,) * 6
+
+
+@pytest.mark.parametrize("case", [(3, 12.0, ("fleet", MANY_WRITERS))], indirect=True)
+def test_most_writers_cut_off_together_three_times_leave_no_state_held(case: Case) -> None:
+    # The stage's rules look at each held state four times a second, over all routers.
+    links = [link for (_, name), link in case.stage.links.items() if name in ("w4", "w5", "w6", "w7", "w8")]
+    assert len(links) == 15
+
+    def script() -> Waits:
+        for _ in range(3):
+            for link in links:
+                link.cut_off()
+            yield 3.0
+            for link in links:
+                link.reconnect()
+            yield 2.0
+
+    case.play(script)
+    logs = [process for instance in case.stage.instances for process in instance.processes]
+    assert not any(process.said("release late") for process in logs)
--- a/yewlab/processes/links.py
+++ b/yewlab/processes/links.py
@@ -44,6 +44,17 @@
             self._listener = None
         self.reset()
 
+    def cut_off(self) -> None:
+        """The far end's machine is cut off: what is open breaks, and new connections do not come up."""
+        if self._listener is not None:
+            self._listener.block()
+        self.reset()
+
+    def reconnect(self) -> None:
+        """The far end can be reached again."""
+        if self._listener is not None:
+            self._listener.unblock()
+
     def restore(self) -> None:
         """The far end is there again, at the same address."""
         if self._listener is None:
--- a/yewlab/processes/net.py
+++ b/yewlab/processes/net.py
@@ -41,6 +41,10 @@
         self._loop.deadlines.cancel(deadline)
 
 
+BACKLOG = 512  # connections that the kernel keeps until they are accepted
+QUEUE_FILLERS = 3  # connections that fill a queue of length 0
+
+
 class Listener:
     """Accepts on a free port of loopback, as long as it is open."""
 
@@ -48,7 +52,8 @@
         self, loop: Loop, accepted: Callable[[socket.socket], object], address: Address = (HOST, 0)
     ) -> None:
         self._loop, self._accepted = loop, accepted
-        self._sock = socket.create_server(address, backlog=512)
+        self._fillers: list[socket.socket] = []  # connections that take up the kernel's queue
+        self._sock = socket.create_server(address, backlog=BACKLOG)
         self._sock.setblocking(False)
         self.address: Address = self._sock.getsockname()
         loop.watch(self._sock, selectors.EVENT_READ, self._accept)
@@ -61,7 +66,27 @@
                 return
             self._accepted(sock)
 
+    def block(self) -> None:
+        """Let no connection come up any more, as where the machine is cut off: the kernel's queue is full."""
+        self._loop.watch(self._sock, 0, self._accept)
+        self._sock.listen(0)
+        for _ in range(QUEUE_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+            self._fillers.append(filler)
+
+    def unblock(self) -> None:
+        """Accept again; those that have come meanwhile come up when they next try."""
+        self._sock.listen(BACKLOG)
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        self._loop.watch(self._sock, selectors.EVENT_READ, self._accept)
+
     def close(self) -> None:
+        for filler in self._fillers:
+            filler.close()
         self._loop.watch(self._sock, 0, self._accept)
         self._sock.close()
 
