--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -17,7 +17,10 @@
 from settings import ENV
 from typer.testing import CliRunner
 
-from yewhook.agent import Agent, Line, ask, read
+from yewhook.agent.agent import Agent
+from yewhook.agent.client import ask
+from yewhook.agent.fleet_file import read
+from yewhook.agent.router_link import RouterLink
 from yewhook.cli import app
 from yewhook.config import ConfigError
 from yewhook.dnssd import Records
@@ -176,7 +179,7 @@
 def test_who_waits_for_a_router_that_ends_is_told(running: Running) -> None:
     # The line was dropped without a word: an operator's pin got no answer at all.
     told: list[bool] = []
-    line = Line(running.service.loop)
+    line = RouterLink(running.service.loop)
     line.tell("levels/unpin", {}, told.append)
     line.close()
     assert told == [False] and line.closed
@@ -229,7 +232,7 @@
 def test_the_agents_connections_are_limited_and_idle_ones_make_room(
     running: Running, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("yewhook.agent.PEERS_MOST", 2)
+    monkeypatch.setattr("yewhook.agent.agent.MAX_PEERS", 2)
     silent = [socket.create_connection(running.place) for _ in range(2)]
     assert running.beside(lambda: ask(running.place, "agent/status", {}))["instances"]
     for sock in silent:
--- /dev/null
+++ b/yewhook/agent/client.py
@@ -0,0 +1,24 @@
+"""The command line's way to a running agent."""
+
+from __future__ import annotations
+
+import json
+import socket
+from typing import Any
+
+from ..config import Address
+from ..jsonrpc import RpcError, encode
+
+
+def ask(place: Address, method: str, params: dict[str, Any], timeout: float = 5.0) -> Any:
+    """One question to a running agent, for the command line. Raises OSError or RpcError."""
+    with socket.create_connection(place, timeout) as sock, sock.makefile("rb") as lines:
+        sock.sendall(encode({"id": 1, "method": method, "params": params}))
+        line = lines.readline()
+    try:
+        answer = json.loads(line)
+    except ValueError:
+        raise OSError("the agent hung up without an answer") from None
+    if "error" in answer:
+        raise RpcError(answer["error"]["code"], answer["error"]["message"])
+    return answer["result"]
--- a/yewhook/cli.py
+++ b/yewhook/cli.py
@@ -142,7 +142,7 @@
             front = read_toolcalls(toolcalls)
             typer.echo(f"{toolcalls}: listens on {_place(front.listen)}, {len(front.names.classes)} classes")
         if fleet is not None:
-            from .agent import read as read_fleet
+            from .agent.fleet_file import read as read_fleet
 
             file = read_fleet(fleet)
             names = ", ".join(spec.name for spec in file.instances)
@@ -186,8 +186,8 @@
 @app.command()
 def agent(fleet: Path) -> None:
     """Run the routers of a fleet file until SIGTERM, and supervise them."""
-    from .agent import Agent
-    from .agent import read as read_fleet
+    from .agent.agent import Agent
+    from .agent.fleet_file import read as read_fleet
 
     service = Service(Log("agent"))
     service.heed_signals()
--- a/yewhook/commands/common.py
+++ b/yewhook/commands/common.py
@@ -31,7 +31,7 @@
 
 def ask_agent(at: str, method: str, timeout: float = 5.0, **params: Any) -> Any:
     """Its answer; whatever goes wrong ends the command with one plain line."""
-    from ..agent import ask
+    from ..agent.client import ask
 
     try:
         return ask(address(at, "--agent"), method, params, timeout)
