--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -664,7 +664,7 @@
             return self._finish(req, "retry budget spent")
         if req.state is not None:
             w = self._writer(req, now)
-            waits = now - req.state_since < STATE_HOLD * self.s.release_within
+            waits = now - req.state_since <= STATE_HOLD * self.s.release_within
             if waits and w is not None and self._may_send(req, w, now):
                 return self._send(req, w, now, read=False)
             if waits and w is None:
--- a/hopshed/wire.py
+++ b/hopshed/wire.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+import math
 from typing import Any
 
 from . import interface as i
@@ -42,6 +43,11 @@
 RESUMED_BIT = 16
 REPEAT_BIT = 2
 HINT_BIT = 1
+RELEASE_WITHIN = 1.0  # s for which a state may be held, where the settings name no time
+
+
+class SettingError(ValueError):
+    """A setting makes no sense; it says which, what it is and what was expected."""
 
 
 def settings(env: dict[str, Any]) -> i.Settings:
@@ -96,11 +102,22 @@
         cold_time=(contract.get("cold-ms") or 0.0) / 1000.0,
         fall_multiple=contract.get("fall-multiple") or 1.0,
         fall_window=(contract.get("fall-ms") or 0.0) / 1000.0,
-        release_within=(extra.get("let-go-by-ms") or 0.0) / 1000.0,
+        release_within=_release_within(extra),
         answer_slack=(contract.get("answer-slack-ms") or 0.0) / 1000.0,
     )
 
 
+def _release_within(extra: dict[str, Any]) -> float:
+    """s for which a state may be held; the default where the settings name none. Raises SettingError."""
+    told = extra.get("let-go-by-ms")
+    if told is None:
+        return RELEASE_WITHIN
+    number = isinstance(told, int | float) and not isinstance(told, bool)
+    if not number or not 0 < told < math.inf:
+        raise SettingError(f"extra.let-go-by-ms: got {told!r}, expected a number of milliseconds over 0")
+    return float(told) / 1000.0
+
+
 def columns(env: dict[str, Any]) -> list[str]:
     return list(env.get("report", {}).get("columns") or [])
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -19,7 +19,7 @@
 CHANGED = {
     "AIM_MARGIN": 0.61,
     "COMFORT": 0.55,
-    "STATE_HOLD": 0.5,
+    "STATE_HOLD": 0.2,
     "LIFT": 1.0,
     "RETRY_RATIO": 0.1,
     "SMOOTHING": 0.3,
--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -7,7 +7,10 @@
 
 import pytest
 from scenario import Party
-from test_platform import Platform
+from settings import ENV
+from test_platform import Platform, begin
+
+from yewhook.config import ConfigError, translate
 
 WRITERS = ("writer", "w2", "w3", "w4")
 LIMIT = 1.0  # s for which a state may be held, in the settings of the tests
@@ -130,3 +133,21 @@
     life = next(iter(p.front.router.lives.values()))
     assert life.out is not None and life.out.timer is not None
     assert remaining <= life.out.timer.at - decided - 0.2 + 0.001
+
+
+@pytest.mark.parametrize("told", [0, -5, "soon", True, float("inf"), float("nan"), [1000]])
+def test_a_senseless_time_to_let_go_is_refused_by_key_value_and_expectation(told: object) -> None:
+    with pytest.raises(ConfigError) as refused:
+        translate(ENV | {"extra": ENV["extra"] | {"let-go-by-ms": told}})
+    text = str(refused.value)
+    assert "extra.let-go-by-ms" in text and repr(told) in text and "milliseconds over 0" in text
+
+
+@pytest.mark.parametrize("extra", [{}, {"let-go-by-ms": None}])
+def test_without_a_time_to_let_go_requests_are_served(extra: dict[str, None]) -> None:
+    without = {key: value for key, value in ENV["extra"].items() if key != "let-go-by-ms"}
+    p = Platform({"reader": "prefill", "writer": "decode"}, env={"extra": without | extra})
+    try:
+        p.play(begin() + "writer send stream\nwriter send event text=a\nclient expect a")
+    finally:
+        p.end()
--- a/yewhook/config.py
+++ b/yewhook/config.py
@@ -140,6 +140,8 @@
     """The module's settings and the names they go by."""
     try:
         return wire.settings(dict(env)), names(env)
+    except wire.SettingError as error:
+        raise ConfigError(f"settings: {error}") from error
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise ConfigError(f"settings: {type(error).__name__} {error}") from error
 
