--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -122,7 +122,7 @@
     module, router, registry = p.front.router._module, p.front.router, p.front.registry
     tables: list[Sized] = [
         module.workers, module.requests, module.kept.uses, module.popularity.seen, module.sessions,
-        router.lives, router.servers, router._told_off, registry.addresses, registry.states,
+        router.lives, router.servers, router.table.told_off, registry.addresses, registry.states,
         p.front.pool._idle, p.front.workers._out, p.front.clients.connections, p.service.loop.deadlines._due,
     ]  # fmt: skip
     return [len(table) for table in tables]
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 import traceback
 from collections.abc import Callable
 from functools import partial
@@ -19,15 +18,15 @@
 
 from ..deadlines import Deadline, Deadlines
 from ..log import Log
+from . import send_rules
 from .ending import GIVEN_UP, NO_STATE_NOTE, OUTCOMES, Ending
 from .held_state import HeldState
 from .life import Attempt, Life, Stage
 from .ports import Client, Governor, Workers
+from .server_table import FORGET_AFTER, ServerTable
 
 T = TypeVar("T")
 ANSWER_GRACE = 0.02  # s after its deadline at which a request that the module left open is answered
-FORGET = 30.0  # s after which a server that is gone is forgotten: no rule and no request reaches back as far
-CONNECT_LEAST = 0.05  # s that a connection has to come up, however short the times of the settings are
 # s after an attempt was given up until a release is sent: the worker has seen the close by then, and a read
 # that ended at the same moment has left its state.
 CLOSE_SEEN = 0.02
@@ -47,13 +46,12 @@
         self.governor: Governor | None = None  # levels of service, where they are on
         self.tell: Callable[[bytes], None] = lambda data: None  # to the other routers, where there is a way
         self.lives: dict[str, Life] = {}
-        self.servers: dict[int, i.Server] = {}
+        self.table = ServerTable()
         self._module = Controller(settings, seed)
         self._seed = seed
         self._deadlines, self._clock = deadlines, clock
         self._facts: list[i.Event] = []
         self._unsettled: list[Life] = []
-        self._told_off: dict[int, float] = {}  # server -> since when it is told to drain or be gone
         self._module_timer: Deadline | None = None
         self._do: dict[type, Callable[[Any], None]] = {
             i.Send: self._send, i.Refuse: self._refuse, i.Fail: self._fail, i.ReleaseState: self._release,
@@ -64,6 +62,11 @@
             i.Probe: lambda act: self._facts.append(i.ProbeEnded(act.server, False, 0.0)),  # not permitted
         }  # fmt: skip
 
+    @property
+    def servers(self) -> dict[int, i.Server]:
+        """All servers that discovery has named lately, by number."""
+        return self.table.servers
+
     @property
     def busy(self) -> bool:
         return bool(self.lives)
@@ -120,25 +123,18 @@
 
     def listed(self, kind: i.ListKind, servers: tuple[i.Server, ...]) -> None:
         """A list of servers, or changes to it, as discovery has just written it."""
-        named = {server.id: server for server in servers}
-        if kind is not i.ListKind.CHANGES:
-            gone = (s for n, s in self.servers.items() if n not in named)
-            named |= {s.id: s._replace(state=i.ServerState.GONE) for s in gone}
-        left: set[int] = set()  # told so just now
-        for server in named.values():
-            known = self.servers.get(server.id)
-            self.servers[server.id] = server
-            if server.state is i.ServerState.GONE and (known is None or known.state is not server.state):
-                self._deadlines.set(self._clock() + FORGET, partial(self._forget, server.id))
-            if server.state is i.ServerState.RUNNING:
-                self._told_off.pop(server.id, None)
-            elif server.id not in self._told_off:
-                self._told_off[server.id] = self._clock()
-                left.add(server.id)
+        now = self._clock()
+        changes = self.table.update(kind, servers, now)
+        for number in changes.gone:
+            self._deadlines.set(now + FORGET_AFTER, partial(self._forget, number))
         self._facts.append(i.ServersListed(kind, servers))
-        for life in list(self.lives.values()) if left else ():
+        for life in list(self.lives.values()) if changes.told_off else ():
             out = life.out
-            if out is not None and out.server in left and self.workers.withdraw(life.id, out.number):
+            if (
+                out is not None
+                and out.server in changes.told_off
+                and self.workers.withdraw(life.id, out.number)
+            ):
                 self.ended(life.id, out.number, Ending.SERVER_LEFT)
 
     def knowledge(self) -> Knowledge:
@@ -155,22 +151,17 @@
 
     def resume(self, told_off: dict[int, float], known: Knowledge) -> None:
         """Go on from a predecessor's knowledge, once the list has been heard. Raises ValueError."""
-        self._told_off.update((n, at) for n, at in told_off.items() if n in self._told_off)
+        self.table.resume(told_off)
         self.turn(self._clock())
         give(self._module, known, self._clock())
 
     @property
     def told_off(self) -> dict[int, float]:
-        return dict(self._told_off)
+        return dict(self.table.told_off)
 
     def _forget(self, number: int) -> None:
         """Let go of all that is known of a server that has been gone for long; ids never come to an end."""
-        server = self.servers.get(number)
-        if server is not None and server.state is i.ServerState.GONE:
-            if self._clock() - self._told_off[number] < FORGET / 2:
-                return  # it came back meanwhile and is gone again; a later deadline is set for that
-            del self.servers[number]
-            self._told_off.pop(number, None)
+        if self.table.forget(number, self._clock()):
             self.workers.forget(number)
 
     def peer_said(self, sender: int, data: bytes) -> None:
@@ -253,7 +244,7 @@
             self._facts.append(i.ServersListed(i.ListKind.FULL, self._listed()))
 
     def _listed(self) -> tuple[i.Server, ...]:
-        return tuple(s for s in self.servers.values() if s.state is not i.ServerState.GONE)
+        return self.table.present()
 
     def _governed(self, ask: Callable[[Governor], T], otherwise: T) -> T:
         """Ask the governor, if there is one. One that fails is given up: service goes on in full."""
@@ -287,9 +278,11 @@
         server = self.servers.get(act.server)
         number = len(life.attempts)
         reads = server is not None and self.settings.roles[server.kind] is i.Role.READER
-        forbidden = self._forbidden(life, act.server)
-        if forbidden:
-            self.log("send withheld", f"{act.id} attempt {number}: {forbidden}")
+        withheld = send_rules.withheld(
+            life, self.table.standing(act.server, self._clock()), self.settings, self._clock()
+        )
+        if withheld is not None:
+            self.log("send withheld", f"{act.id} attempt {number}: {withheld}")
             life.attempts.append(Attempt(number, act.server, reads, self._clock(), False, Ending.NOT_SENT))
             closed = life.stage is Stage.ENDED
             self._facts.append(
@@ -303,49 +296,8 @@
         life.stage = Stage.ATTEMPT_OUT
         self._deadlines.cancel(life.let_go)
         attempt.timer = self._deadlines.set(self._clock() + timeout, lambda: self._timed_out(life, attempt))
-        self.workers.send(act.id, number, act.server, life.call, timeout, self._begins_within(life))
-
-    def _forbidden(self, life: Life, server: int) -> str:
-        if life.stage is not Stage.DECIDING:
-            return f"the request is {life.stage.name.lower()}"
-        if life.out is not None:
-            return "an attempt is out"
-        if len(life.attempts) >= self.settings.max_attempts:
-            return "no attempts left"
-        if self._clock() >= life.deadline:
-            return "its time has run out"
-        if server not in self.servers:
-            return "a server that no list has named"
-        if self._clock() - self._told_off.get(server, self._clock()) > self.settings.drain_grace:
-            return "the server drains or is gone"
-        if life.effect is i.Effect.UNSAFE and self._may_have_run(life):
-            return "it may have run already"
-        if self._may_have_run(life) and self._window_left(life) <= 0:
-            return "its window for repeats is over"
-        return ""
-
-    def _begins_within(self, life: Life) -> float:
-        """s in which an attempt must be on its way, however long a connection may take to come up: a server
-        told to drain meanwhile gets nothing later, a repeat after its window runs anew, and the time in which
-        a state may be held goes on."""
-        held = max(CONNECT_LEAST, life.held.release_at - self._clock())
-        within = min(held, max(CONNECT_LEAST, self.settings.drain_grace))
-        return min(within, self._window_left(life)) if self._may_have_run(life) else within
-
-    def _window_left(self, life: Life) -> float:
-        """s in which a request of its class that may have run may go out again."""
-        sent = min(a.sent for a in life.attempts if self._ran(a))
-        window = self.settings.classes[life.arrived.cls].dedup_window
-        return sent + window - self._clock() if life.effect is i.Effect.KEYED else math.inf
-
-    @staticmethod
-    def _ran(attempt: Attempt) -> bool:
-        """An attempt at a reader has no effect; any other may have run unless its ending rules that out."""
-        never = attempt.ending is not None and OUTCOMES[attempt.ending].never_ran
-        return not attempt.reads and not never
-
-    def _may_have_run(self, life: Life) -> bool:
-        return any(self._ran(a) for a in life.attempts)
+        begins = send_rules.connect_within(life, self.settings, self._clock())
+        self.workers.send(act.id, number, act.server, life.call, timeout, begins)
 
     def _refuse(self, act: i.Refuse) -> None:
         if life := self.lives.get(act.id):
@@ -353,9 +305,7 @@
 
     def _decline(self, life: Life, retry_after: float) -> None:
         """Refuse, which promises that a repeat is harmless, or fail where that can't be promised."""
-        cls = self.settings.classes[life.arrived.cls]
-        harmless = cls.effect is i.Effect.SAFE or (cls.effect, cls.group) == (i.Effect.KEYED, i.Group.ALL)
-        if harmless or not self._may_have_run(life):
+        if send_rules.refusal_is_harmless(life, self.settings):
             self._end(life, None, lambda: life.client.refuse(retry_after))
         else:
             self._fail(i.Fail(life.id))
