--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -15,6 +15,7 @@
 from hopshed import wire
 from yewhook.core.ending import OUTCOMES, Ending
 from yewhook.core.router import CLOSE_SEEN, Router
+from yewhook.core.spent_ids import KEPT_FOR
 from yewhook.deadlines import Deadlines
 from yewhook.log import Log
 
@@ -285,6 +286,30 @@
     assert c.workers.released == ["a"]
 
 
+@pytest.mark.parametrize("ending", [Ending.GARBLED, Ending.TIMED_OUT, Ending.TURNED_AWAY])
+def test_an_id_of_an_unsafe_request_that_may_have_run_is_not_taken_again(c: Core, ending: Ending) -> None:
+    # It came again 5 ms after its end, had no attempts here, and could be refused as harmless or run anew.
+    c.take(cls=1)
+    c.do(i.Send("a", WRITER, 1.0))
+    c.router.ended("a", 0, ending)
+    c.do(i.Fail("a"))
+    again = i.RequestArrived("a", 1, 0, "s", 8.0, 100.0)
+    ran = ending is not Ending.TURNED_AWAY
+    assert c.router.accept(again, Client(), "call") is not ran
+    c.router.client_left("a")
+    c.do()
+    c.wait(KEPT_FOR)
+    assert c.router.accept(again, Client(), "call")
+
+
+def test_an_id_of_a_safe_request_is_taken_again(c: Core) -> None:
+    c.take()
+    c.do(i.Send("a", WRITER, 1.0))
+    c.router.ended("a", 0, Ending.GARBLED)
+    c.do(i.Fail("a"))
+    assert c.router.accept(i.RequestArrived("a", 0, 0, "s", 8.0, 100.0), Client(), "call")
+
+
 def test_a_connection_that_never_comes_up_leaves_the_time_of_a_state_running(c: Core) -> None:
     # The state waited 0.65 s for a writer, and each of three connections took 0.25 s more: 1.40 s in all.
     c.take()
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -24,6 +24,7 @@
 from .life import Attempt, Life, Stage
 from .ports import Client, Governor, Workers
 from .server_table import FORGET_AFTER, ServerTable
+from .spent_ids import SpentIds
 
 T = TypeVar("T")
 ANSWER_GRACE = 0.02  # s after its deadline at which a request that the module left open is answered
@@ -47,6 +48,7 @@
         self.tell: Callable[[bytes], None] = lambda data: None  # to the other routers, where there is a way
         self.lives: dict[str, Life] = {}
         self.table = ServerTable()
+        self._spent = SpentIds()
         self._module = Controller(settings, seed)
         self._seed = seed
         self._deadlines, self._clock = deadlines, clock
@@ -74,8 +76,8 @@
     # ---- facts from a front ----
 
     def accept(self, arrived: i.RequestArrived, client: Client, call: object) -> bool:
-        """Take a request over; False where one with this id is still open."""
-        if arrived.id in self.lives:
+        """Take a request over; False where one with this id is open, or has run and may not be repeated."""
+        if arrived.id in self.lives or self._spent.holds(arrived.id, self._clock()):
             return False
         effect = self.settings.classes[arrived.cls].effect
         deadline = self._clock() + arrived.patience
@@ -395,6 +397,8 @@
         if life.stage is Stage.ENDED:
             self._let_go_if_held(life)
             self.lives.pop(life.id, None)
+            if not send_rules.refusal_is_harmless(life, self.settings):
+                self._spent.add(life.id, self._clock())
         elif life.held.possible:
             life.let_go = self._deadlines.set(life.held.release_at, lambda: self._let_go_if_held(life))
 
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -289,7 +289,7 @@
         self.request_id, self._opened, self._slow = arrived.id, False, False
         if not self.front.router.accept(arrived, self, call):
             self.request_id = ""
-            return self._turn_back(BadRequest(400, "X-Txn: a request with this id is open"))
+            return self._turn_back(BadRequest(400, "X-Txn: a request with this id is open, or may have run"))
         return None
 
     def _turn_back(self, error: BadRequest) -> None:
