--- a/yewhook/platform/front.py
+++ b/yewhook/platform/front.py
@@ -116,7 +116,7 @@
     def _state(self, drained: bool, module: Knowledge) -> HandOver:
         from ..operations import form
 
-        known = [s for s in self.router.servers.values() if s.state is not i.ServerState.GONE]
+        known = self.router.table.present()
         listed = form.listed((server, self.registry.addresses.get(server.id)) for server in known)
         router = self.router
         return form.HandOver(self.loop.now, drained, self.watch.generation, listed, router.told_off, module)
--- a/yewhook/releases.py
+++ b/yewhook/releases.py
@@ -51,7 +51,7 @@
         if plan.result is not None:
             return self._end(plan.result)
         if plan.wake_at is not None:
-            self._wake(plan.wake_at)
+            self.wake(plan.wake_at)
         return None
 
     def _call(self, address: Address) -> None:
@@ -69,7 +69,8 @@
         if plan is not None:
             self._carry_out(plan)
 
-    def _wake(self, at: float) -> None:
+    def wake(self, at: float) -> None:
+        """Come back at a time of the loop's clock."""
         self._timer.set(max(0.0, at - self._releases.loop.now), self.advance)
 
     def _close(self, address: Address) -> None:
@@ -108,7 +109,10 @@
         """Let go of all that is held for a request, from `begin_at` on and by `due` (the loop's clock)."""
         release = _Release(self, request_id, begin_at, due)
         self._open.add(release)
-        release.advance()
+        if begin_at > self.loop.now:  # whom to ask is looked up when it begins
+            release.wake(begin_at)
+        else:
+            release.advance()
 
     def ended(self, release: _Release) -> None:
         """It is confirmed, or nothing can be held any more."""
