--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -150,6 +150,7 @@
             return
         self.ask_wait = ASK_FIRST
         named = {info.id for info in ev.servers}
+        started: list[Worker] = []
         for info in ev.servers:
             w = self.workers.get(info.id)
             if w is None:
@@ -157,14 +158,16 @@
                     continue
                 listed = now if ev.kind is i.ListKind.CHANGES else -math.inf
                 w = self.workers[info.id] = Worker(info, self.s.roles[info.kind], now, listed)
-                self.slow_start.begin(w, self._peers(w), self.random.random(), now)
+                started.append(w)
             elif info.started != w.info.started and info.started is not None:  # a new process
                 w.forget(now)
                 w.info, w.listed = info, now
-                self.slow_start.begin(w, self._peers(w), self.random.random(), now)
+                started.append(w)
                 self.kept.lost(info.id)
             w.info = info
             w.gone_at = now if info.state is i.ServerState.GONE else math.inf
+        for w in started:  # once all of its peers are known
+            self.slow_start.begin(w, self._peers(w), self.random.random(), now)
         for w in self.workers.values():
             if ev.kind is not i.ListKind.CHANGES and w.info.id not in named:
                 w.info, w.gone_at = w.info._replace(state=i.ServerState.GONE), min(now, w.gone_at)
--- a/hopshed/slow_start.py
+++ b/hopshed/slow_start.py
@@ -11,7 +11,8 @@
 SAFETY = 0.6  # part of the budget in use
 FLOOR = 0.3  # sends a second to each server where no peer is warm
 LEAST = 1.0  # sends that the bucket holds at the least
-EVEN_TIMES = 1.5  # the most that a warm server counts for, against an even share of all
+FEW_AT_ONCE = 0.5  # sends that a server bears at once, whatever its capacity
+EVEN_TIMES = 1.25  # the most that a warm server counts for, against an even share of all
 WORK_MEMORY = 5.0  # s; time constant of the measured rate of work sent to a server
 
 
@@ -49,14 +50,20 @@
         """Set the bucket of a server that has just started; `draw` is uniform from 0 to 1.
 
         A start by chance lets in the routers whose turn it is, so that the sum over routers holds: as many at
-        once as there is room for by chance, or where this router knows no rates yet, as large a part of them
-        as the server has of its capacity.
+        once as there is room for by chance. A router that has sent nothing to the role yet, and finds warm
+        servers there, uses this one as far as it is warm: it draws no more than its part of what comes.
         """
         able = self.able(w, now)
+        if self._none_sent_to_warm(peers, now):
+            w.cold_level = draw + able
+            return
         budget = self.s.fall_multiple * able * self.warm_rate(w, peers, now) * self.s.fall_window
-        first = (math.sqrt(budget * self.s.instances) + 1.0) / self.s.instances
-        knows_rates = any(p.work.value for p in peers)
-        w.cold_level = draw + (min(able, first) if knows_rates else able)
+        at_once = (math.sqrt(budget * self.s.instances) + FEW_AT_ONCE) / 2  # of all routers together
+        w.cold_level = draw + min(able, at_once / self.s.instances)
+
+    def _none_sent_to_warm(self, peers: Sequence[Worker], now: float) -> bool:
+        """Whether there are warm peers, and this router has sent nothing to any peer."""
+        return any(not self.cold(p, now) for p in peers) and not any(p.work.value for p in peers)
 
     def room(self, w: Worker, peers: Sequence[Worker], now: float) -> bool:
         """Whether a cold server may get one more send from us.
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -1,4 +1,4 @@
-"""What a server in slow start is sent by all routers together, though most of its role starts at once."""
+"""What a server in slow start is sent by all routers, where most of its role or all of it starts at once."""
 
 from __future__ import annotations
 
@@ -105,3 +105,32 @@
     cluster.play(rate=30.0)
     assert all(cluster.sent[n] for n in RESTARTED)
     assert cluster.worst() <= 1.0
+
+
+@pytest.mark.parametrize("routers", [20, 60, 230])
+@pytest.mark.parametrize("known", [True, False])
+def test_the_only_server_of_a_role_that_restarts_is_sent_few_calls_by_many_routers(
+    routers: int, known: bool
+) -> None:
+    """No warm peer tells what it can take; a quarter of all routers sent it a call at once.
+
+    `known` = the routers knew it before; else they start themselves while it is cold.
+    """
+    sent_by_seed = []
+    for seed in range(1, 6):
+        others = tuple(server(n, 0) for n in READERS) + tuple(server(n, 1) for n in (WARM, *RESTARTED))
+        only, restarted = server(21, 2, started=1.0), server(21, 2, started=100.0)
+        sent = 0
+        for number in range(routers):
+            fleet = (*others, only if known else restarted)
+            router = Bench(
+                fleet, seed=seed * 1000 + number, instances=routers, fall_multiple=MULTIPLE,
+                fall_window=WINDOW, cold_from=COLD_FROM, cold_time=COLD_TIME,
+            )  # fmt: skip
+            if known:
+                router.do(ServersListed(ListKind.CHANGES, (restarted,)))
+            acts = [act for turn in range(5) for act in router.arrive(f"r{turn}", prompt_tokens=100.0)]
+            sent += sum(isinstance(act, Send) and act.server == 21 for act in acts)
+        sent_by_seed.append(sent)
+    assert sum(sent_by_seed) > 0
+    assert max(sent_by_seed) <= 3  # what a server bears by chance, whatever its capacity
