--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -24,6 +24,7 @@
 from .quota import Quotas
 from .reach import Reach
 from .rendezvous import Rendezvous, rank
+from .room import REPORT_TTL, Room
 from .slow_start import WORK_MEMORY, SlowStart
 from .state import Attempt, Request, Session, Worker, drop_before
 from .waits import WAIT_DECAY, Waits
@@ -31,8 +32,6 @@
 TICK, LOOK_EVERY, LIFT = 0.05, 4, 4.0  # s; ticks between looks over the fleet; wait over CST that lifts
 SESSION_IDLE, ORDERS_KEPT = 60.0, 500  # s unused until sessions and kept texts are dropped; hash orders kept
 FORGET = 30.0  # s until a server that is gone is forgotten
-MEMORY_FULL, UTIL_FLOOR = 0.9, 0.05  # memory share above which a writer has no room; idle reports say little
-SMOOTHING, REPORT_TTL = 0.25, 3.0  # s; moving average over room; age at which a report is as not heard
 LOAD_BOUND = 2.0  # a reader holding over this times the median of our reads is passed over
 GAIN, SLOW_GAIN = 0.25, 0.05  # weight of a sample in averages
 DRAG_MAX, READ_SHARE = 4.0, 0.6  # most that one stream counts for in drag; reading's part at mixed servers
@@ -41,8 +40,6 @@
 COMFORT, AIM_MARGIN = 0.6, 0.6  # of the time left, to keep a reader; of the aim; near it many are late
 TOLD_SPARE, TOLD_MARGIN = 4, 0.8  # the two where queues are told
 OTHERS = 1.0  # weight of the time that a read takes from others, against its own
-LIMIT_START, LIMIT_LEAST = 4.0, 1.0  # streams; adaptive concurrency limit, for writers that report nothing
-LIMIT_CUT, LIMIT_NEAR = 0.85, 0.7  # cut when full or slow; grows by one for each limit's worth at .7 of it
 SLOW_START_TOKEN, SLOW_START_MIN = 4.0, 0.3  # a wait so many times the writer's floor, and s, is slow
 READ_TIMEOUT = (1.0, 4.0)  # s, and times the expected read
 WRITE_TIMEOUT = (2.0, 6.0)  # s, and times the expected wait for a first token
@@ -75,16 +72,15 @@
         self.requests: dict[str, Request] = {}
         self.by_cst: list[tuple[bool, float, int, Request]] = []
         self.by_lift: list[tuple[float, int, Request]] = []
-        self.room: dict[bool, float | None] = {False: None, True: None}  # smoothed; True = mixed servers
-        self.room_at, self.chance = 0.0, self.random.random()
+        self.chance = self.random.random()
         self.ranks, self.lean = Rendezvous(ORDERS_KEPT), 1.0  # weight of readers, on average
-        self.places, self.streams = Places(), dict.fromkeys(i.Role, 0)  # our streams
+        self.places = Places()
+        self.room = Room(settings, self.places)
         self.service = i.ServiceLevel()
         self.reading = {role: Estimate() for role in i.Role}  # servers' time that reads of ours take, s a s
         self.popularity, self.slow_start, self.reach = Popularity(), SlowStart(settings), Reach()
         self.paces, self.kept = Paces(), KeptTexts()
         self.mean_prompt = self.mean_fresh = 0.0  # mean tokens of a prompt; those that were not kept
-        self.context = 0.0  # mean tokens of a request, prompt and answer
         self.leaving, self.leave_age = ([0.0] * max(1, len(settings.tenants)) for _ in range(2))  # by tenant
         self.stream_time, self.class_tokens = ([0.0] * len(settings.classes) for _ in range(2))
         self.retries, self.probes = RETRY_CAP, PROBE_BURST
@@ -198,9 +194,9 @@
         self.waits.arrived(now)
         self.retries = min(RETRY_CAP, self.retries + RETRY_RATIO)
         self.probes = min(PROBE_BURST, self.probes + PROBES_A_TURN)
-        old, size = self.class_tokens[ev.cls], ev.prompt_tokens + ev.max_tokens / 2
+        old = self.class_tokens[ev.cls]
         self.class_tokens[ev.cls] = old + SLOW_GAIN * (ev.prompt_tokens - old) if old else ev.prompt_tokens
-        self.context = self.context + SLOW_GAIN * (size - self.context) if self.context else size
+        self.room.arrived(ev.prompt_tokens + ev.max_tokens / 2)
         req.over = self.quotas.over(ev.tenant, now)
         self.serial, self.held = self.serial + 1, self.held + 1
         if ev.admit < 1.0 and self.random.random() >= ev.admit:
@@ -223,9 +219,9 @@
             w.backlog.read(a.mark, ev.latency, a.expected, now)
         w.floor = min(ev.latency, w.floor * 1.01)
         if ev.latency > max(SLOW_START_MIN, SLOW_START_TOKEN * w.floor):
-            self._cut(w)
-        elif w.streams > LIMIT_NEAR * self._limit(w) > LIMIT_NEAR:
-            w.limit = self._limit(w) + 1.0 / self._limit(w)
+            self.room.cut(w)
+        else:
+            self.room.grow(w)
 
     def _ended(self, ev: i.AttemptEnded, now: float) -> None:
         req, a = self._attempt(ev.id, ev.attempt)
@@ -233,7 +229,7 @@
             return
         w, a.live, a.outcome = a.server, False, ev.outcome
         w.unbook(a)
-        self.streams[w.role] -= not a.read
+        self.room.streams[w.role] -= not a.read
         self._heard(w, ev.load, now)
         if ev.outcome in (i.Outcome.READ, i.Outcome.OK):
             self._good(w, now)
@@ -244,7 +240,7 @@
                 self.acts.append(i.ReleaseState(ev.id))
                 req.state = None
             else:
-                self._cut(w)
+                self.room.cut(w)
         elif ev.outcome is i.Outcome.TIMED_OUT and w.life > a.sent and not a.streaming:
             self._learn_wait(w, ev.latency, now, a.wait)  # slow, not silent: others were answered
         elif ev.outcome not in (i.Outcome.CANCELED, i.Outcome.NOT_SENT):
@@ -358,7 +354,7 @@
         if not silent:
             return
         # What waits there would run into its time-outs; streams there stand still.
-        moves = max(1, int(MOVE_SHARE * sum(self.streams.values()))) if self.s.may_resume else 0
+        moves = max(1, int(MOVE_SHARE * sum(self.room.streams.values()))) if self.s.may_resume else 0
         for req in list(self.requests.values()):
             for n, a in enumerate(req.attempts):
                 if a.server is w and a.live and a.streaming and moves > 0:
@@ -408,65 +404,16 @@
         seen = [t for t in self.class_tokens if t > 0]
         return max(1.0, self.class_tokens[req.ev.cls] * len(seen) / sum(seen)) if seen else 1.0
 
-    def _room(self, w: Worker, now: float) -> float | None:
-        """Free room at a writer: in-flight x (1 - u) / u, less our sends since the report; None = not heard.
-
-        u is the fuller of slots and memory (departure: slots stay empty where memory binds); not told, an
-        adaptive limit stands in. Drag guards against servers that slow their streams, whatever the cause.
-        """
-        if not self.steered:
-            return self._limit(w) - w.streams
-        if (load := w.load) is None or now - w.load_at > REPORT_TTL:
-            return None
-        if (load.memory_share or 0.0) > MEMORY_FULL or (load.queued or 0.0) >= 1.0:
-            return -float(w.since_load)
-        u = min(1.0, max(load.utilization or 0.0, load.memory_share or 0.0, UTIL_FLOOR))
-        return self._part(w) * (1 - u) / u / max(1.0, w.drag) ** 2 - w.since_load
-
-    def _part(self, w: Worker) -> float:
-        """Our part of the requests at w: told, our streams, their mean over its peers, or by memory held.
-        One of many routers has none or one there, and a floor of one each adds up to many times the room."""
-        if w.load is not None and w.load.in_flight is not None:
-            return w.load.in_flight / self.s.instances
-        held = LIMIT_START
-        if w.load is not None and w.load.memory_share and self.s.memory_tokens and self.context:
-            held = max(held, w.load.memory_share * self.s.memory_tokens[w.info.kind] / self.context)
-        mean = self.streams[w.role] / max(1, self.places.running[w.role])
-        return max(w.own_at_load, mean, held / self.s.instances)
-
-    def _limit(self, w: Worker) -> float:
-        if w.limit is None and self.s.memory_tokens and self.context:
-            w.limit = MEMORY_FULL * self.s.memory_tokens[w.info.kind] / self.context / self.s.instances
-        return LIMIT_START if w.limit is None else w.limit
-
-    def _cut(self, w: Worker) -> None:
-        if (limit := self._limit(w)) > LIMIT_LEAST:  # a part of fewer streams is of many routers: it stays
-            w.limit = max(LIMIT_LEAST, min(limit, (w.streams + 1) * LIMIT_CUT))  # many slow ones cut once
-
-    def _free(self, mixed: bool, now: float) -> float:
-        """Smoothed room over the writers (or the mixed servers), less what we have on its way there."""
-        if not (pool := self.pool(i.Role.MIXED if mixed else i.Role.WRITER, now)):
-            return 0.0
-        raw = self.all_room(pool, now)
-        old, part = self.room[mixed], 1 - math.exp(-(now - self.room_at) / SMOOTHING)
-        self.room[mixed] = smooth = raw if old is None else old + part * (raw - old)
-        return min(smooth, raw) if raw < 1 else smooth
-
-    def all_room(self, pool: list[Worker], now: float) -> float:
-        """Room at servers together. Where none is heard yet the limit from told memory stands in, so that
-        there is always a gate."""
-        rooms = [self._room(w, now) for w in pool]
-        known = [r for r in rooms if r is not None] or [self._limit(w) - w.streams for w in pool]
-        mean = sum(known) / len(known)
-        return max(0.0, sum(mean if r is None else r for r in rooms))
+    def _free(self, role: i.Role, now: float) -> float:
+        return self.room.smoothed(role, self.pool(role, now), now)
 
     def _pump(self, now: float) -> None:
         if not self.held:
             self.by_cst, self.by_lift = [], []  # what is left was released by way of the other heap
             return
         reading = sum(w.reads for w in self.workers.values())
-        free = {True: self._free(True, now), False: self._free(False, now) - reading}
-        self.room_at = now
+        free = {True: self._free(i.Role.MIXED, now), False: self._free(i.Role.WRITER, now) - reading}
+        self.room.smoothed_until(now)
         # Reading slows mixed servers' answers, so it is held to a part of their time, all taken together.
         both = [w for w in self.workers.values() if w.role is i.Role.MIXED]
         reads = self.reading[i.Role.MIXED].faded(now, WORK_MEMORY) * self.s.instances
@@ -542,7 +489,7 @@
         the time left, for the quickest of its homes and SPARE_HOMES more; elsewhere it would be read anew."""
         pool = self.pool(i.Role.MIXED if mixed else i.Role.READER, now, req)
         if mixed:  # a beginning's home must not fill past its own room: its answers would crawl (i63487d)
-            pool = self._roomy(pool, now) or pool
+            pool = self.room.with_room(pool, now) or pool
         if not pool:
             return None, math.inf
         last = self._last(req)
@@ -577,16 +524,12 @@
         may = best in fit and expected[best] > 0 and left > 0
         return (pool[best], expected[best] / left) if may else (None, math.inf)
 
-    def _roomy(self, pool: list[Worker], now: float) -> list[Worker]:
-        rooms = ((w, self._room(w, now)) for w in pool)
-        return [w for w, room in rooms if room is None or room >= min(1.0, self._part(w))]
-
     def _pair(self, req: Request, home: Worker | None, now: float) -> list[Worker]:
         """Two random writers for a state at home. Departure: from its cell, then zone, as links are slow and
         paid for; but only as large a part as the place has of all writers, the rest by chance where there are
         more. Guards against full near writers when few waits are seen; from the list alone, so it adds up."""
         pool = self.pool(i.Role.WRITER, now, req) or self.pool(i.Role.MIXED, now, req)
-        pool = self._roomy(pool, now) or pool
+        pool = self.room.with_room(pool, now) or pool
         if home is not None:
             cell, zone = self.places.cell(home), self.places.zone(home)
             cell *= self.lean / self.ranks.weights.get(home.info.id, 1.0)
@@ -607,10 +550,10 @@
         tried = [a.server for a in req.attempts]
         two = [w for w in req.pair if w not in tried and self._usable(w, now, req)]
         two = [w for w in two if not self._in_doubt(w, now)]
-        if len(self._roomy(two, now)) < 2:
+        if len(self.room.with_room(two, now)) < 2:
             two = self._pair(req, req.state, now)
-        if self.steered and all(self._room(w, now) is not None for w in two):
-            return max(two, key=lambda w: self._room(w, now) or 0.0, default=None)
+        if self.steered and all(self.room.at(w, now) is not None for w in two):
+            return max(two, key=lambda w: self.room.at(w, now) or 0.0, default=None)
         return min(two, key=lambda w: w.streams * w.drag, default=None)
 
     def _may_send(self, req: Request, w: Worker, now: float) -> bool:
@@ -643,7 +586,7 @@
                 self.acts += [i.Tell(word)] if word else []
         req.attempts.append(a)
         w.book(a)
-        self.streams[w.role] += not read
+        self.room.streams[w.role] += not read
         weight = self._weight(req)
         w.work.bump(weight / WORK_MEMORY, now, WORK_MEMORY)
         w.cold_level -= weight
--- a/hopshed/handover.py
+++ b/hopshed/handover.py
@@ -75,7 +75,7 @@
         waits=c.waits.by_role,
         pace=c.paces.of,
         paced=c.paces.learnt,
-        means=(c.mean_prompt, c.mean_fresh, c.context, c.waits.gap),
+        means=(c.mean_prompt, c.mean_fresh, c.room.context, c.waits.gap),
         by_class=list(zip(c.stream_time, c.class_tokens, strict=True)),
         by_tenant=list(zip(c.leaving, c.leave_age, strict=True)),
         quotas=[(bucket.level, bucket.at) for bucket in c.quotas.buckets],
@@ -98,7 +98,7 @@
     c.kept.uses = {(number, key): used for number, key, used in known.kept}
     c.waits.by_role, c.waits.came = c.waits.by_role | known.waits, now
     c.paces.resume(known.pace, known.paced)
-    c.mean_prompt, c.mean_fresh, c.context, c.waits.gap = known.means
+    c.mean_prompt, c.mean_fresh, c.room.context, c.waits.gap = known.means
     c.stream_time, c.class_tokens = (list(part) for part in zip(*known.by_class, strict=True))
     c.leaving, c.leave_age = (list(part) for part in zip(*known.by_tenant, strict=True))
     for bucket, told in zip(c.quotas.buckets, known.quotas, strict=False):
@@ -126,7 +126,7 @@
         c.class_tokens = [mine or theirs for mine, theirs in zip(c.class_tokens, tokens, strict=True)]
     prompt, fresh, context, _ = known.means
     c.mean_prompt, c.mean_fresh = c.mean_prompt or prompt, c.mean_fresh or fresh
-    c.context = c.context or context
+    c.room.context = c.room.context or context
     for bucket, told in zip(c.quotas.buckets, known.quotas, strict=False):
         if bucket.at == 0.0:  # untouched
             bucket.level, bucket.at = told
--- a/hopshed/sights.py
+++ b/hopshed/sights.py
@@ -20,5 +20,5 @@
         busy = read / max(usable, c.s.cold_from)
     else:
         out = sum(w.streams for w in pool)
-        busy = out / (out + c.all_room(pool, now)) if out else 0.0
+        busy = out / (out + c.room.together(pool, now)) if out else 0.0
     return RoleSight(c.places.running[role], usable, busy)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -241,9 +241,9 @@
     w = b.c.workers[11]
     w.streams = 10
     b.do(ProbeEnded(11, True, 0.01, Load(utilization=0.5, queued=0.0, memory_share=0.3)))
-    assert b.c._room(w, b.now) == pytest.approx(10.0)
+    assert b.c.room.at(w, b.now) == pytest.approx(10.0)
     b.do(ProbeEnded(11, True, 0.01, Load(utilization=0.5, queued=0.0, memory_share=0.95)))
-    assert b.c._room(w, b.now) <= 0
+    assert b.c.room.at(w, b.now) <= 0
 
 
 def test_a_deployment_without_reports_still_has_a_gate():
@@ -303,9 +303,9 @@
     w = b.c.workers[11]
     w.streams = 10
     b.do(ProbeEnded(11, True, 0.01, Load(utilization=0.5)))
-    before = b.c._room(w, b.now)
+    before = b.c.room.at(w, b.now)
     w.drag = 2.0
-    assert b.c._room(w, b.now) < before / 2
+    assert b.c.room.at(w, b.now) < before / 2
 
 
 def test_many_slow_first_tokens_cut_the_limit_once():
@@ -313,11 +313,11 @@
     b = Bench()
     w = b.c.workers[11]
     w.streams, w.limit = 20, 100.0
-    b.c._cut(w)
-    once = b.c._limit(w)
+    b.c.room.cut(w)
+    once = b.c.room.limit(w)
     for _ in range(10):
-        b.c._cut(w)
-    assert once == b.c._limit(w) == pytest.approx(21 * 0.85)
+        b.c.room.cut(w)
+    assert once == b.c.room.limit(w) == pytest.approx(21 * 0.85)
 
 
 def test_a_hung_writer_that_answers_probes_is_ejected_and_a_reader_is_not():
@@ -401,8 +401,9 @@
     b = Bench(report_fields=("memory_share",), may_probe=True, instances=100)
     for wid in (11, 12, 13):
         b.do(ProbeEnded(wid, True, 0.01, Load(memory_share=0.8)))
-    b.c.context = 1600.0
-    assert b.c._free(False, b.now) < 1.0  # 100 streams at each, room for 25: a part of .75 for each router
+    b.c.room.context = 1600.0
+    # 100 streams at each, room for 25: a part of .75 for each router.
+    assert b.c._free(Role.WRITER, b.now) < 1.0
 
 
 def test_a_pace_from_one_slow_read_does_not_refuse_for_ever():
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from types import ModuleType
+
 import decision_stream
 import pytest
 
-from hopshed import control
+from hopshed import control, room
 
 
 @pytest.mark.parametrize("name", decision_stream.STREAMS)
@@ -16,21 +18,22 @@
     assert differs is None, f"{name}: step {differs} decides otherwise"
 
 
-CHANGED = {
-    "AIM_MARGIN": 0.61,
-    "COMFORT": 0.55,
-    "STATE_HOLD": 0.2,
-    "LIFT": 1.0,
-    "RETRY_RATIO": 0.1,
-    "SMOOTHING": 0.3,
-}
+CHANGED = [
+    (control, "AIM_MARGIN", 0.61),
+    (control, "COMFORT", 0.55),
+    (control, "STATE_HOLD", 0.2),
+    (control, "LIFT", 1.0),
+    (control, "RETRY_RATIO", 0.1),
+    (room, "SMOOTHING", 0.3),
+    (room, "LIMIT_CUT", 0.7),
+]
 
 
-@pytest.mark.parametrize(("constant", "value"), CHANGED.items())
+@pytest.mark.parametrize(("module", "constant", "value"), CHANGED)
 def test_one_changed_constant_is_noticed(
-    monkeypatch: pytest.MonkeyPatch, constant: str, value: float
+    monkeypatch: pytest.MonkeyPatch, module: ModuleType, constant: str, value: float
 ) -> None:
-    assert getattr(control, constant) != value
-    monkeypatch.setattr(control, constant, value)
+    assert getattr(module, constant) != value
+    monkeypatch.setattr(module, constant, value)
     found = {name: decision_stream.digests(name) for name in decision_stream.STREAMS}
     assert found != decision_stream.recorded()
