--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -16,11 +16,13 @@
 
 from . import interface as i
 from .estimate import Estimate
+from .health import Health
 from .hearsay import NO_TEXT, Hearsay, Reading, Slow, tag
 from .kept import KeptTexts
 from .pace import Paces
 from .places import Places
 from .popularity import Popularity
+from .probes import Probes
 from .quota import Quotas
 from .reach import Reach
 from .rendezvous import Rendezvous, rank
@@ -47,15 +49,8 @@
 ON_ITS_WAY = 0.1  # s that a repeat may take to a server: one that comes after its window is no repeat
 STATE_HOLD = 0.6  # part of the release limit for which a state may wait for a writer
 RETRY_AFTER, LAST_CALL = (0.2, 0.8), 0.1  # s; advice to refused clients, spread; time kept for the answer
-ERROR_RATE, MOVE_SHARE = 0.4, 0.34  # error rate that ejects; part of our streams that a silent server moves
+MOVE_SHARE = 0.34  # part of our streams that a silent server moves
 RESUMED_AIMS = 2.0  # aims that a stream which comes back may take to go on
-DOUBT, DOUBT_FOR = 0.2, 30.0  # error rate (one failure's is more) that puts a server in doubt, and s for it
-EJECT_BASE, EJECT_MAX, EJECT_CAP = 2.0, 6.0, 0.7  # s, doubling; part of a role that may be ejected at once
-SILENT_AFTER, SILENT_WAITS = 0.6, 2.0  # s, and expected waits, without an answer before a probe asks
-SILENT_TIMES, PROBE_FAILS = 3.0, 2  # so long, and a writer is out though it answers probes; lost in a row
-PROBE_EVERY, PAIR_FRESH = 0.8, 0.2  # s; younger reports are not asked for again, of the drawn writers neither
-PROBES_A_TURN, PROBE_BURST = 3.5, 6.0  # budget of probes for load: all routers' sum then follows the traffic
-WRITING = (i.Role.WRITER, i.Role.MIXED)
 LOG_EVERY, ASK_FIRST = 5.0, 0.5  # s between log lines; s until a failed list call is repeated
 OVER_MARGIN = 0.5  # part of the time left that a turn beyond its client's quota does without
 
@@ -83,9 +78,11 @@
         self.mean_prompt = self.mean_fresh = 0.0  # mean tokens of a prompt; those that were not kept
         self.leaving, self.leave_age = ([0.0] * max(1, len(settings.tenants)) for _ in range(2))  # by tenant
         self.stream_time, self.class_tokens = ([0.0] * len(settings.classes) for _ in range(2))
-        self.retries, self.probes = RETRY_CAP, PROBE_BURST
+        self.retries = RETRY_CAP
         self.quotas, self.hearsay = Quotas(settings), Hearsay(settings)
         self.waits = Waits(self.hearsay)
+        self.health = Health(settings, self.reach, self.hearsay, self.waits, self.paces)
+        self.probes = Probes(settings, self.health)
         self.serial = self.held = self.timer = 0
         self.log_at = -math.inf
         self.ask_at, self.ask_wait = math.inf, ASK_FIRST
@@ -193,7 +190,7 @@
         req.cst = self.sessions[ev.session].cst if ev.session in self.sessions else 0.0
         self.waits.arrived(now)
         self.retries = min(RETRY_CAP, self.retries + RETRY_RATIO)
-        self.probes = min(PROBE_BURST, self.probes + PROBES_A_TURN)
+        self.probes.arrived()
         old = self.class_tokens[ev.cls]
         self.class_tokens[ev.cls] = old + SLOW_GAIN * (ev.prompt_tokens - old) if old else ev.prompt_tokens
         self.room.arrived(ev.prompt_tokens + ev.max_tokens / 2)
@@ -213,7 +210,7 @@
         self.leaving[req.tenant] *= 1 - LEAVE_GAIN
         w = a.server
         w.pending.remove(a)
-        self._good(w, now)
+        self.health.answered(w, now)
         self._learn_wait(w, max(0.0, ev.latency - a.tokens * self.paces.of[w.role]), now, a.wait)
         if a.mark:  # a whole turn
             w.backlog.read(a.mark, ev.latency, a.expected, now)
@@ -232,7 +229,7 @@
         self.room.streams[w.role] -= not a.read
         self._heard(w, ev.load, now)
         if ev.outcome in (i.Outcome.READ, i.Outcome.OK):
-            self._good(w, now)
+            self.health.answered(w, now)
             self._read_done(req, a, ev, now) if ev.outcome is i.Outcome.READ else self._served(req, a, ev)
         elif ev.outcome is i.Outcome.FULL:
             w.life = now
@@ -245,7 +242,8 @@
             self._learn_wait(w, ev.latency, now, a.wait)  # slow, not silent: others were answered
         elif ev.outcome not in (i.Outcome.CANCELED, i.Outcome.NOT_SENT):
             still = a.streaming and ev.outcome is i.Outcome.TIMED_OUT
-            self._bad(w, now, still or ev.outcome is i.Outcome.UNREACHABLE)
+            if self.health.failed(w, now):  # what waits on one that cannot be reached stands still
+                self._eject(w, now, silent=still or ev.outcome is i.Outcome.UNREACHABLE)
             if ev.outcome in (i.Outcome.UNREACHABLE, i.Outcome.TIMED_OUT) and not a.streaming:
                 self.reach.silent(w.info.zone, w.info.id, ev.latency, now)
             if ev.outcome is i.Outcome.TIMED_OUT and not a.streaming:
@@ -305,19 +303,12 @@
     def _probed(self, ev: i.ProbeEnded, now: float) -> None:
         if (w := self.workers.get(ev.server)) is None:
             return
-        w.probing = False
-        w.probe_fails = 0 if ev.ok else w.probe_fails + 1
+        silent = self.health.probe_ended(w, ev.ok, now)
         if ev.ok:
-            w.life = w.life if w.pending and w.role is i.Role.WRITER else now
             self._heard(w, ev.load, now)
-        elif w.probe_fails >= PROBE_FAILS and self._quiet(w, now):
+        elif silent:
             self._eject(w, now, silent=True)
 
-    def _quiet(self, w: Worker, now: float) -> bool:
-        """No sign of life for longer than waits explain: lost probes alone would eject the busy ones."""
-        read = w.pending[0].tokens * self.paces.of[w.role] if w.pending else 0.0
-        return now - w.life > SILENT_AFTER + SILENT_WAITS * (self.waits.at(w, now) + read)
-
     def _heard(self, w: Worker, load: i.Load | None, now: float) -> None:
         if load is not None:
             w.load, w.load_at, w.own_at_load, w.since_load = load, now, w.streams, 0
@@ -332,24 +323,9 @@
         share = self.mean_fresh / max(self.mean_prompt, self.mean_fresh, 1.0)
         return max((w.load.backlog_tokens or 0.0) * share, (w.load.queued or 0.0) * self.mean_fresh)
 
-    def _good(self, w: Worker, now: float) -> None:
-        self.reach.alive(w.info.zone)
-        w.life, w.trial, w.probe_fails = now, False, 0
-        w.errors, w.ejections = w.errors * (1 - GAIN), 0 if now > w.ejected + EJECT_MAX else w.ejections
-
-    def _bad(self, w: Worker, now: float, cut_off: bool) -> None:
-        """Guards against servers that fail fast, refuse connections or let attempts run out in silence, also
-        broken links; it hurts when errors follow the request and not the server, which EJECT_CAP bounds."""
-        w.errors, w.failed_at = w.errors + GAIN * (1.0 - w.errors), now
-        if w.trial or w.errors > ERROR_RATE:
-            self._eject(w, now, silent=cut_off)  # what waits on one that cannot be reached stands still
-
     def _eject(self, w: Worker, now: float, silent: bool) -> None:
-        peers = self._peers(w)
-        if now < w.ejected or sum(now < p.ejected for p in peers) + 1 > EJECT_CAP * len(peers):
+        if not self.health.eject(w, self._peers(w), now):
             return
-        w.ejected = now + min(EJECT_MAX, EJECT_BASE * 2**w.ejections)
-        w.ejections, w.trial, w.errors = w.ejections + 1, True, 0.0
         self.acts.append(i.Log(f"eject {w.info.id} {'silent' if silent else 'failing'} at {now:.1f}"))
         if not silent:
             return
@@ -370,9 +346,7 @@
                     self.acts.append(i.CancelAttempt(req.ev.id, n))
 
     def _usable(self, w: Worker, now: float, req: Request | None = None) -> bool:
-        if w.info.state is not i.ServerState.RUNNING or now < w.ejected:
-            return False
-        if w.trial and (w.reads + w.streams > 0 or (self.s.may_probe and w.life < w.ejected)):
+        if not self.health.usable(w, now):
             return False
         if req is None or not self.slow_start.cold(w, now):
             return True
@@ -390,15 +364,9 @@
         if cut_off := self.reach.cut_off(now):
             pool = [w for w in pool if w.info.zone not in cut_off] or pool
         if req is not None and self.s.classes[req.ev.cls].effect is i.Effect.UNSAFE:
-            return [w for w in pool if not self._in_doubt(w, now)] or pool
+            return [w for w in pool if not self.health.in_doubt(w, now)] or pool
         return pool
 
-    def _in_doubt(self, w: Worker, now: float) -> bool:
-        """It failed us or another router lately, or is on trial after that. Guards turns that cannot be
-        repeated against servers that fail all they get; others find out how these do. Reads do nothing."""
-        failing = (w.trial or w.errors > DOUBT) and now - w.failed_at < DOUBT_FOR
-        return w.role is not i.Role.READER and (failing or self.hearsay.doubted(w.info.id, now))
-
     def _weight(self, req: Request) -> float:
         """A send's work against the mean over classes."""
         seen = [t for t in self.class_tokens if t > 0]
@@ -549,7 +517,7 @@
         drawn and probed when the read begins, and their room decides: we have hardly a stream at each."""
         tried = [a.server for a in req.attempts]
         two = [w for w in req.pair if w not in tried and self._usable(w, now, req)]
-        two = [w for w in two if not self._in_doubt(w, now)]
+        two = [w for w in two if not self.health.in_doubt(w, now)]
         if len(self.room.with_room(two, now)) < 2:
             two = self._pair(req, req.state, now)
         if self.steered and all(self.room.at(w, now) is not None for w in two):
@@ -596,10 +564,8 @@
         self.acts.append(i.Send(req.ev.id, w.info.id, timeout))
         if read and self.steered:
             req.pair = self._pair(req, w, now)
-            for p in req.pair:
-                if self.probes >= 1 and now - p.load_at >= PAIR_FRESH:
-                    self.probes -= 1
-                    self._probe(p, now)
+            for w in self.probes.drawn(req.pair, now):
+                self._probe(w, now)
 
     def _further(self, req: Request, now: float) -> None:
         """A released request with nothing out: hand its state over, read it (again), or end it."""
@@ -684,7 +650,7 @@
         self.popularity.fade(now)
         self._forget(now)
         if self.timer % LOOK_EVERY == 0:
-            self._probes(now)
+            self._look_for_silent(now)
         if self.counts and now - self.log_at >= LOG_EVERY:
             self.acts.append(i.Log("; ".join(f"{why}: {n}" for why, n in self.counts.items())))
             self.counts, self.log_at = {}, now
@@ -701,31 +667,15 @@
             heapq.heapify(self.by_cst)
             heapq.heapify(self.by_lift)
 
-    def _probes(self, now: float) -> None:
-        """Probe for load where only probes tell it, and what is overdue, lost a probe or is to come back."""
-        steer = bool(self.s.report_fields) and not self.s.reports_in_answers
-        stale: list[Worker] = []
+    def _look_for_silent(self, now: float) -> None:
+        """Eject writers that are silent though they may answer probes, and probe what is due."""
         for w in self.workers.values():
-            late = w.oldest(now) > SILENT_AFTER and self._quiet(w, now)
-            overdue = w.oldest(now) > SILENT_TIMES * (SILENT_AFTER + self.waits.at(w, now))
-            if late and overdue and w.role is i.Role.WRITER:  # though it may answer probes
+            if w.role is i.Role.WRITER and self.health.late(w, now) and self.health.overdue(w, now):
                 self._eject(w, now, silent=True)
-            if w.probing or not self.s.may_probe or w.info.state is not i.ServerState.RUNNING:
-                continue
-            since = now - w.probe_at
-            back = w.trial and now >= w.ejected and w.life < w.ejected
-            if since >= SILENT_AFTER / 2 and (late or back or (w.probe_fails and now >= w.ejected)):
-                self._probe(w, now)
-            elif steer and since >= PROBE_EVERY and now >= w.ejected and (self.tells or w.role in WRITING):
-                stale.append(w)
-        # The stalest first, in an order of our own: all routers' probes in step would be lost.
-        if self.probes >= 1:
-            stale.sort(key=lambda w: (w.probe_at, self.random.random()))
-        for w in stale[: int(self.probes)]:
-            self.probes -= 1
+        for w in self.probes.due(self.workers.values(), self.random, now):
             self._probe(w, now)
 
     def _probe(self, w: Worker, now: float) -> None:
-        if self.s.may_probe and not w.probing:
+        if self.probes.may(w):
             w.probing, w.probe_at = True, now
             self.acts.append(i.Probe(w.info.id))
