--- a/hopshed/backlog.py
+++ b/hopshed/backlog.py
@@ -2,7 +2,7 @@
 
 One router of many sends each server a read now and then and sees its queue too rarely to know it: it
 believed the waits of a few busy servers of all the others, refused turns that idle ones would have read, and
-crowded the rest. Each router tells the others of its reads (`hearsay.py`); a server reads first come, first
+crowded the rest. Each router tells the others of its reads (`gossip.py`); a server reads first come, first
 served, so what was sent less the time since then is its queue. What is wrong with that (a slow server, words
 that were lost) shows when a read of our own ends, and fades.
 """
--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -16,20 +16,20 @@
 
 from . import interface as i
 from .estimate import Estimate
+from .gossip import NO_TEXT, Gossip, Reading, Slow, tag
 from .health import Health
-from .hearsay import NO_TEXT, Hearsay, Reading, Slow, tag
-from .kept import KeptTexts
 from .pace import Paces
-from .places import Places
 from .popularity import Popularity
+from .prefix_cache import PrefixCacheIndex
 from .probes import Probes
 from .quota import Quotas
-from .reach import Reach
 from .rendezvous import Rendezvous, rank
 from .room import REPORT_TTL, Room
 from .slow_start import WORK_MEMORY, SlowStart
 from .state import Attempt, Request, Session, Worker, drop_before
+from .topology import Topology
 from .waits import WAIT_DECAY, Waits
+from .zone_reachability import ZoneReachability
 
 TICK, LOOK_EVERY, LIFT = 0.05, 4, 4.0  # s; ticks between looks over the fleet; wait over CST that lifts
 SESSION_IDLE, ORDERS_KEPT = 60.0, 500  # s unused until sessions and kept texts are dropped; hash orders kept
@@ -69,19 +69,19 @@
         self.by_lift: list[tuple[float, int, Request]] = []
         self.chance = self.random.random()
         self.ranks, self.lean = Rendezvous(ORDERS_KEPT), 1.0  # weight of readers, on average
-        self.places = Places()
-        self.room = Room(settings, self.places)
+        self.topology = Topology()
+        self.room = Room(settings, self.topology)
         self.service = i.ServiceLevel()
         self.reading = {role: Estimate() for role in i.Role}  # servers' time that reads of ours take, s a s
-        self.popularity, self.slow_start, self.reach = Popularity(), SlowStart(settings), Reach()
-        self.paces, self.kept = Paces(), KeptTexts()
+        self.popularity, self.slow_start, self.zones = Popularity(), SlowStart(settings), ZoneReachability()
+        self.paces, self.prefix_cache = Paces(), PrefixCacheIndex()
         self.mean_prompt = self.mean_fresh = 0.0  # mean tokens of a prompt; those that were not kept
         self.leaving, self.leave_age = ([0.0] * max(1, len(settings.tenants)) for _ in range(2))  # by tenant
         self.stream_time, self.class_tokens = ([0.0] * len(settings.classes) for _ in range(2))
         self.retries = RETRY_CAP
-        self.quotas, self.hearsay = Quotas(settings), Hearsay(settings)
-        self.waits = Waits(self.hearsay)
-        self.health = Health(settings, self.reach, self.hearsay, self.waits, self.paces)
+        self.quotas, self.gossip = Quotas(settings), Gossip(settings)
+        self.waits = Waits(self.gossip)
+        self.health = Health(settings, self.zones, self.gossip, self.waits, self.paces)
         self.probes = Probes(settings, self.health)
         self.serial = self.held = self.timer = 0
         self.log_at = -math.inf
@@ -119,7 +119,7 @@
 
     def _told_of(self, ev: i.PeerSaid, now: float) -> None:
         try:
-            word = self.hearsay.hear(ev.data, now)
+            word = self.gossip.hear(ev.data, now)
         except ValueError as error:
             return self.acts.append(i.Log(f"router {ev.sender} sent {error}"))
         if isinstance(word, Slow) and (w := self.workers.get(word.server)) is not None:
@@ -128,7 +128,7 @@
         elif isinstance(word, Reading):
             for w in [self.workers[n] for n in word.servers if n in self.workers]:
                 w.backlog.add(word.work, now)
-                self.kept.used(w.info.id, word.text, now)
+                self.prefix_cache.used(w.info.id, word.text, now)
 
     def _level(self, ev: i.ServiceLevel, now: float) -> None:
         self.service = ev
@@ -156,7 +156,7 @@
                 w.forget(now)
                 w.info, w.listed = info, now
                 started.append(w)
-                self.kept.lost(info.id)
+                self.prefix_cache.lost(info.id)
             w.info = info
             w.gone_at = now if info.state is i.ServerState.GONE else math.inf
         for w in started:  # once all of its peers are known
@@ -164,9 +164,9 @@
         for w in self.workers.values():
             if ev.kind is not i.ListKind.CHANGES and w.info.id not in named:
                 w.info, w.gone_at = w.info._replace(state=i.ServerState.GONE), min(now, w.gone_at)
-        self.hearsay.listed(self.workers)
-        self.places.listed(self.workers.values())
-        self.ranks.servers({n: self.places.weight(w) for n, w in self.workers.items()})
+        self.gossip.listed(self.workers)
+        self.topology.listed(self.workers.values())
+        self.ranks.servers({n: self.topology.weight(w) for n, w in self.workers.items()})
         lean = [self.ranks.weights[n] for n, w in self.workers.items() if w.role is i.Role.READER]
         self.lean = sum(lean) / max(1, len(lean))
 
@@ -245,10 +245,10 @@
             if self.health.failed(w, now):  # what waits on one that cannot be reached stands still
                 self._eject(w, now, silent=still or ev.outcome is i.Outcome.UNREACHABLE)
             if ev.outcome in (i.Outcome.UNREACHABLE, i.Outcome.TIMED_OUT) and not a.streaming:
-                self.reach.silent(w.info.zone, w.info.id, ev.latency, now)
+                self.zones.silent(w.info.zone, w.info.id, ev.latency, now)
             if ev.outcome is i.Outcome.TIMED_OUT and not a.streaming:
                 self._tell_wait(w, ev.latency - a.wait, now)
-            if ev.outcome is i.Outcome.FAILED and (word := self.hearsay.failed(w.info.id, now)):
+            if ev.outcome is i.Outcome.FAILED and (word := self.gossip.failed(w.info.id, now)):
                 self.acts.append(i.Tell(word))
         if ev.outcome is i.Outcome.CANCELED and not a.streaming:  # it would have waited longer still
             self._learn_wait(w, max(ev.latency, self.waits.at(w, now)), now, a.wait)
@@ -279,14 +279,14 @@
         self._tell_wait(w, self.waits.learn(w, sample, now, believed), now)
 
     def _tell_wait(self, w: Worker, wait: float, now: float) -> None:
-        if self.waits.stands_out(w, wait, now) and (word := self.hearsay.slow(w.info.id, wait, now)):
+        if self.waits.stands_out(w, wait, now) and (word := self.gossip.slow(w.info.id, wait, now)):
             self.acts.append(i.Tell(word))
 
     def _remember(self, req: Request, w: Worker, now: float) -> None:
         session = self.sessions.pop(req.ev.session, None) or Session()  # kept in the order of last use
         session.reader, session.prompt, session.at = w.info.id, req.ev.prompt_tokens, now
         self.sessions[req.ev.session] = session
-        self.kept.used(w.info.id, tag(req.ev.prefix) if req.ev.prefix else NO_TEXT, now)
+        self.prefix_cache.used(w.info.id, tag(req.ev.prefix) if req.ev.prefix else NO_TEXT, now)
 
     def _served(self, req: Request, a: Attempt, ev: i.AttemptEnded) -> None:
         stream = max(0.0, ev.latency - a.first)
@@ -361,7 +361,7 @@
         tried = [a.server for a in req.attempts] if req else []
         pool = [w for w in self.workers.values() if w.role is role and w not in tried]
         pool = [w for w in pool if self._usable(w, now, req)]
-        if cut_off := self.reach.cut_off(now):
+        if cut_off := self.zones.cut_off(now):
             pool = [w for w in pool if w.info.zone not in cut_off] or pool
         if req is not None and self.s.classes[req.ev.cls].effect is i.Effect.UNSAFE:
             return [w for w in pool if not self.health.in_doubt(w, now)] or pool
@@ -387,7 +387,7 @@
         reads = self.reading[i.Role.MIXED].faded(now, WORK_MEMORY) * self.s.instances
         if both and self.waits.told(both[0]):
             reads = sum(w.backlog.share(now) for w in both)
-        busy = reads / max(1, self.places.running[i.Role.MIXED])
+        busy = reads / max(1, self.topology.running[i.Role.MIXED])
         free[True] *= max(0.0, 1 - busy / READ_SHARE)
         idle = not any(w.reads or w.streams for w in self.workers.values())
         # Part of a place is given by chance, else what is too little for each router stays unused.
@@ -435,7 +435,7 @@
         kept = 0.0
         if session is not None and session.reader == w.info.id:
             kept = min(session.prompt, req.ev.prompt_tokens)
-        elif self.kept.holds(w.info.id, req.ev.prefix):
+        elif self.prefix_cache.holds(w.info.id, req.ev.prefix):
             kept = req.ev.prefix_tokens
         return max(0.0, req.ev.prompt_tokens - kept * w.hit)
 
@@ -461,12 +461,12 @@
         if not pool:
             return None, math.inf
         last = self._last(req)
-        order = self.ranks.places(req.ev.prefix or req.ev.session)
+        order = self.ranks.order(req.ev.prefix or req.ev.session)
         pool.sort(key=lambda w: order[w.info.id])
         homes = self.popularity.homes(req.ev.prefix, len(pool), now)
         pool[:homes] = sorted(pool[:homes], key=lambda w: rank(req.ev.session, w.info.id), reverse=True)
         told = self.waits.told(pool[0]) and self.waits.seldom(
-            self.places.running[i.Role.READER] + self.places.running[i.Role.MIXED]
+            self.topology.running[i.Role.READER] + self.topology.running[i.Role.MIXED]
         )
         near = homes + (TOLD_SPARE if told else SPARE_HOMES)
         pool = pool[:near] + [w for w in pool[near:] if w is last]
@@ -499,16 +499,16 @@
         pool = self.pool(i.Role.WRITER, now, req) or self.pool(i.Role.MIXED, now, req)
         pool = self.room.with_room(pool, now) or pool
         if home is not None:
-            cell, zone = self.places.cell(home), self.places.zone(home)
+            cell, zone = self.topology.cell(home), self.topology.zone(home)
             cell *= self.lean / self.ranks.weights.get(home.info.id, 1.0)
             draw = self.random.random()
             inside = [w for w in pool if w.info.zone == home.info.zone]
             if draw < cell:
                 near = [w for w in inside if w.info.cell == home.info.cell]
             elif draw < zone:
-                near = [w for w in inside if self.places.cell(w) > 1]
+                near = [w for w in inside if self.topology.cell(w) > 1]
             else:
-                near = [w for w in pool if self.places.zone(w) > 1]
+                near = [w for w in pool if self.topology.zone(w) > 1]
             pool = near or inside or pool
         return self.random.sample(pool, 2) if len(pool) > 1 else pool
 
@@ -550,7 +550,7 @@
             work = fresh * self.paces.of[w.role]
             a.wait, a.mark = w.backlog.wait(now), w.backlog.add(work, now)
             if self.waits.told(w):
-                word = self.hearsay.reading(w.info.id, work, req.ev.prefix, self.random.random())
+                word = self.gossip.reading(w.info.id, work, req.ev.prefix, self.random.random())
                 self.acts += [i.Tell(word)] if word else []
         req.attempts.append(a)
         w.book(a)
@@ -646,7 +646,7 @@
             elif not req.done and not req.out:
                 self._further(req, now)
         drop_before(self.sessions, now - SESSION_IDLE)
-        self.kept.fade(now - SESSION_IDLE)
+        self.prefix_cache.fade(now - SESSION_IDLE)
         self.popularity.fade(now)
         self._forget(now)
         if self.timer % LOOK_EVERY == 0:
@@ -660,7 +660,7 @@
         that the other heap has released, so they are built anew when most of what they name is over."""
         for n in [n for n, w in self.workers.items() if now - w.gone_at > FORGET]:
             del self.workers[n]
-            self.hearsay.forget(n)
+            self.gossip.forget(n)
         if len(self.by_cst) + len(self.by_lift) > 4 * self.held + ORDERS_KEPT:
             self.by_cst = [entry for entry in self.by_cst if entry[-1].held]
             self.by_lift = [entry for entry in self.by_lift if entry[-1].held]
--- a/hopshed/hearsay.py
+++ b/hopshed/gossip.py
@@ -53,7 +53,7 @@
     return blake2b(key.encode(), digest_size=TAG_BYTES).hexdigest()
 
 
-class Hearsay:
+class Gossip:
     def __init__(self, settings: Settings) -> None:
         self.speaks = settings.may_tell and settings.instances > 1
         least, most = STEP_PARTS
--- a/hopshed/handover.py
+++ b/hopshed/handover.py
@@ -70,7 +70,7 @@
         servers={n: Learnt(*(getattr(w, name) for name in names)) for n, w in c.workers.items()},
         work={n: w.work for n, w in c.workers.items()},
         sessions=list(c.sessions.items())[-SESSIONS_MOST:],
-        kept=[(n, key, used) for (n, key), used in list(c.kept.uses.items())[-KEPT_MOST:]],
+        kept=[(n, key, used) for (n, key), used in list(c.prefix_cache.uses.items())[-KEPT_MOST:]],
         seen=list(c.popularity.seen.items()),
         waits=c.waits.by_role,
         pace=c.paces.of,
@@ -79,7 +79,7 @@
         by_class=list(zip(c.stream_time, c.class_tokens, strict=True)),
         by_tenant=list(zip(c.leaving, c.leave_age, strict=True)),
         quotas=[(bucket.level, bucket.at) for bucket in c.quotas.buckets],
-        words=c.hearsay.words(),
+        words=c.gossip.words(),
     )
 
 
@@ -95,7 +95,7 @@
                 setattr(worker, field.name, getattr(learnt, field.name))
             worker.work = known.work.get(number, Estimate())
     c.sessions, c.popularity.seen = dict(known.sessions), dict(known.seen)
-    c.kept.uses = {(number, key): used for number, key, used in known.kept}
+    c.prefix_cache.uses = {(number, key): used for number, key, used in known.kept}
     c.waits.by_role, c.waits.came = c.waits.by_role | known.waits, now
     c.paces.resume(known.pace, known.paced)
     c.mean_prompt, c.mean_fresh, c.room.context, c.waits.gap = known.means
@@ -103,7 +103,7 @@
     c.leaving, c.leave_age = (list(part) for part in zip(*known.by_tenant, strict=True))
     for bucket, told in zip(c.quotas.buckets, known.quotas, strict=False):
         bucket.level, bucket.at = told
-    c.hearsay.resume(known.words)
+    c.gossip.resume(known.words)
 
 
 def remind(c: Controller, known: Knowledge) -> None:
@@ -116,7 +116,7 @@
             for name in REMINDED:
                 setattr(worker, name, getattr(learnt, name))
     c.sessions = dict(known.sessions) | c.sessions
-    c.kept.uses = {(number, key): used for number, key, used in known.kept} | c.kept.uses
+    c.prefix_cache.uses = {(number, key): used for number, key, used in known.kept} | c.prefix_cache.uses
     c.popularity.seen = dict(known.seen) | c.popularity.seen
     mine = {role: pace for role, pace in c.paces.of.items() if pace}
     c.paces.resume(known.pace | mine, c.paces.learnt or known.paced)
--- a/hopshed/health.py
+++ b/hopshed/health.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Sequence
 
-from .hearsay import Hearsay
+from .gossip import Gossip
 from .interface import Role, ServerState, Settings
 from .pace import Paces
-from .reach import Reach
 from .state import Worker
 from .waits import Waits
+from .zone_reachability import ZoneReachability
 
 ERROR_GAIN = 0.25  # weight of one answer or failure in a server's error rate
 ERROR_RATE = 0.4  # error rate that ejects
@@ -27,14 +27,14 @@
     """What a router has seen of its servers' health."""
 
     def __init__(
-        self, settings: Settings, reach: Reach, hearsay: Hearsay, waits: Waits, paces: Paces
+        self, settings: Settings, zones: ZoneReachability, gossip: Gossip, waits: Waits, paces: Paces
     ) -> None:
         self._may_probe = settings.may_probe
-        self._reach, self._hearsay, self._waits, self._paces = reach, hearsay, waits, paces
+        self._zones, self._gossip, self._waits, self._paces = zones, gossip, waits, paces
 
     def answered(self, w: Worker, now: float) -> None:
         """An attempt there has ended well, or has its first token."""
-        self._reach.alive(w.info.zone)
+        self._zones.alive(w.info.zone)
         w.life, w.trial, w.probe_fails = now, False, 0
         w.errors *= 1 - ERROR_GAIN
         if now > w.ejected + EJECT_MAX:
@@ -86,7 +86,7 @@
         do. Reads have no effect, so readers are never in doubt.
         """
         failing = (w.trial or w.errors > DOUBT_RATE) and now - w.failed_at < DOUBT_TIME
-        return w.role is not Role.READER and (failing or self._hearsay.doubted(w.info.id, now))
+        return w.role is not Role.READER and (failing or self._gossip.doubted(w.info.id, now))
 
     def late(self, w: Worker, now: float) -> bool:
         """Whether something waits there for long, and it has given no sign of life meanwhile."""
--- a/hopshed/interface.py
+++ b/hopshed/interface.py
@@ -167,7 +167,7 @@
     weight: float = 1.0
 
 
-class RoleSight(NamedTuple):
+class RoleUsage(NamedTuple):
     """What the module believes of one role's servers."""
 
     listed: int  # running, by the list
--- a/hopshed/kept.py
+++ b/hopshed/prefix_cache.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from .estimate import Estimate
-from .hearsay import NO_TEXT, tag
+from .gossip import NO_TEXT, tag
 from .state import drop_before
 
-MOST = 8192  # that are remembered, the latest: some 250 bytes each
+MAX_ENTRIES = 8192  # that are remembered, the latest: some 250 bytes each
 
 
-class KeptTexts:
+class PrefixCacheIndex:
+    """Bounded; what was used least lately goes first."""
+
     def __init__(self) -> None:
         self.uses: dict[tuple[int, str], Estimate] = {}  # (server, tag of the text), in the order of last use
 
@@ -18,10 +20,11 @@
         if text != NO_TEXT:
             self.uses.pop((server, text), None)
             self.uses[(server, text)] = Estimate(1.0, now)
-            if len(self.uses) > MOST:
+            if len(self.uses) > MAX_ENTRIES:
                 del self.uses[next(iter(self.uses))]
 
     def holds(self, server: int, prefix: str | None) -> bool:
+        """Whether a server is believed to keep a shared beginning."""
         return prefix is not None and (server, tag(prefix)) in self.uses
 
     def lost(self, server: int) -> None:
@@ -29,4 +32,5 @@
         self.uses = {key: use for key, use in self.uses.items() if key[0] != server}
 
     def fade(self, before: float) -> None:
+        """Forget what was last used before a time."""
         drop_before(self.uses, before)
--- a/hopshed/rendezvous.py
+++ b/hopshed/rendezvous.py
@@ -30,11 +30,11 @@
             self.weights = weights
             self.known.clear()
 
-    def places(self, key: str) -> dict[int, int]:
+    def order(self, key: str) -> dict[int, int]:
         """Each server's place in the key's order, highest rank first."""
         if key not in self.known:
             if len(self.known) >= self.keep:
                 self.known.clear()
-            order = sorted(self.weights, key=lambda n: (rank(key, n, self.weights[n]), n), reverse=True)
-            self.known[key] = {server: place for place, server in enumerate(order)}
+            ranked = sorted(self.weights, key=lambda n: (rank(key, n, self.weights[n]), n), reverse=True)
+            self.known[key] = {server: place for place, server in enumerate(ranked)}
         return self.known[key]
--- a/hopshed/sights.py
+++ b/hopshed/role_usage.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 from .control import Controller
-from .interface import Role, RoleSight
+from .interface import Role, RoleUsage
 from .slow_start import WORK_MEMORY
 
 
-def sight(c: Controller, now: float) -> dict[Role, RoleSight]:
+def role_usage(c: Controller, now: float) -> dict[Role, RoleUsage]:
     """Each role's servers, and how much of them is in use."""
-    return {role: _role(c, role, now) for role in Role}
+    return {role: _usage(c, role, now) for role in Role}
 
 
-def _role(c: Controller, role: Role, now: float) -> RoleSight:
+def _usage(c: Controller, role: Role, now: float) -> RoleUsage:
     pool = c.pool(role, now)
     usable = sum(c.slow_start.able(w, now) for w in pool)
     if role is Role.READER:
@@ -21,4 +21,4 @@
     else:
         out = sum(w.streams for w in pool)
         busy = out / (out + c.room.together(pool, now)) if out else 0.0
-    return RoleSight(c.places.running[role], usable, busy)
+    return RoleUsage(c.topology.running[role], usable, busy)
--- a/hopshed/room.py
+++ b/hopshed/room.py
@@ -9,8 +9,8 @@
 from collections.abc import Sequence
 
 from .interface import Role, Settings
-from .places import Places
 from .state import Worker
+from .topology import Topology
 
 REPORT_TTL = 3.0  # s; age at which a load report is as not heard
 MEMORY_FULL = 0.9  # memory share above which a server has no room
@@ -25,8 +25,8 @@
 class Room:
     """What servers can still take, and the measures that this is judged by."""
 
-    def __init__(self, settings: Settings, places: Places) -> None:
-        self._settings, self._places = settings, places
+    def __init__(self, settings: Settings, topology: Topology) -> None:
+        self._settings, self._topology = settings, topology
         self._reported = not {"utilization", "memory_share"}.isdisjoint(settings.report_fields)
         self.streams = dict.fromkeys(Role, 0)  # this router's streams at the servers of each role
         self.context = 0.0  # mean tokens of a request, prompt and answer
@@ -62,7 +62,7 @@
         held = LIMIT_START
         if w.load is not None and w.load.memory_share and self._settings.memory_tokens and self.context:
             held = max(held, w.load.memory_share * self._memory(w) / self.context)
-        mean = self.streams[w.role] / max(1, self._places.running[w.role])
+        mean = self.streams[w.role] / max(1, self._topology.running[w.role])
         return max(w.own_at_load, mean, held / self._settings.instances)
 
     def _memory(self, w: Worker) -> float:
--- a/hopshed/places.py
+++ b/hopshed/topology.py
@@ -11,7 +11,9 @@
 LEAN_LEAST, LEAN_MOST = 0.8, 1.2  # weight as a home: a cell's part of writers over that of readers
 
 
-class Places:
+class Topology:
+    """The balance of readers and writers by cell and zone, over the running servers of the list."""
+
     def __init__(self) -> None:
         self._alive: list[Worker] = []
         self._known: dict[tuple[str, int], float] = {}
--- a/hopshed/waits.py
+++ b/hopshed/waits.py
@@ -5,7 +5,7 @@
 import math
 
 from .estimate import Estimate
-from .hearsay import Hearsay
+from .gossip import Gossip
 from .interface import Role
 from .state import Worker
 
@@ -22,10 +22,10 @@
 class Waits:
     """Waits for a read, or for a first token, in s."""
 
-    def __init__(self, hearsay: Hearsay) -> None:
+    def __init__(self, gossip: Gossip) -> None:
         self.by_role = {role: Estimate() for role in Role}
         self.gap, self.came = 0.0, 0.0  # mean time between this router's arrivals in s, and the last one
-        self._hearsay = hearsay
+        self._gossip = gossip
 
     def arrived(self, now: float) -> None:
         """A request has come."""
@@ -34,7 +34,7 @@
 
     def told(self, w: Worker) -> bool:
         """Whether a server's queue is judged by what routers tell one another of their reads."""
-        return self._hearsay.speaks and w.role is not Role.WRITER
+        return self._gossip.speaks and w.role is not Role.WRITER
 
     def seldom(self, servers: int) -> bool:
         """Whether this router is one of so many that it meets each server too seldom to know it by itself."""
--- a/hopshed/reach.py
+++ b/hopshed/zone_reachability.py
@@ -14,7 +14,9 @@
 AVOIDED_FOR, REMEMBERED = 2.0, 10.0  # s after the last silence; until one counts no more
 
 
-class Reach:
+class ZoneReachability:
+    """Servers that stayed silent lately, by zone."""
+
     def __init__(self) -> None:
         self._silent: dict[int, dict[int, float]] = {}  # zone -> server -> when it last stayed silent
 
--- a/tests/levels/test_estimators.py
+++ b/tests/levels/test_estimators.py
@@ -77,11 +77,11 @@
     assert not any(recent.seen(key, 200.0) for key in keys)
 
 
-def sight(readers: float = 2, writers: float = 3, busy: float = 0.5) -> dict[R, i.RoleSight]:
+def sight(readers: float = 2, writers: float = 3, busy: float = 0.5) -> dict[R, i.RoleUsage]:
     return {
-        R.READER: i.RoleSight(2, readers, busy / 4),
-        R.WRITER: i.RoleSight(3, writers, busy),
-        R.MIXED: i.RoleSight(0, 0.0, 0.0),
+        R.READER: i.RoleUsage(2, readers, busy / 4),
+        R.WRITER: i.RoleUsage(3, writers, busy),
+        R.MIXED: i.RoleUsage(0, 0.0, 0.0),
     }
 
 
--- a/tests/recovery/test_recovery.py
+++ b/tests/recovery/test_recovery.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from hopshed import interface as i
-from hopshed.interface import ListKind, Outcome, Role, RoleSight, ServerState
+from hopshed.interface import ListKind, Outcome, Role, RoleUsage, ServerState
 from yewhook.levels.governor import Governor
 from yewhook.levels.settings import LevelsSettings, Mode
 from yewhook.recovery.phases import Phase
@@ -23,7 +23,7 @@
 
 MODULE = site.settings(1e6, 6)
 UP, DRAINING = ServerState.RUNNING, ServerState.DRAINING
-SIGHT = {role: RoleSight(2, 2.0, 0.1) for role in Role}
+SIGHT = {role: RoleUsage(2, 2.0, 0.1) for role in Role}
 
 
 def server(number: int, state: ServerState = UP, started: float | None = None) -> i.Server:
@@ -49,7 +49,7 @@
         self.recovery.hear(i.ServersListed(kind, merged), self.now)
         return {s.id: s.state for s in merged}
 
-    def look(self, seconds: float = 0.25, sight: dict[Role, RoleSight] = SIGHT) -> Phase:
+    def look(self, seconds: float = 0.25, sight: dict[Role, RoleUsage] = SIGHT) -> Phase:
         for _ in range(round(seconds / 0.25)):
             self.now += 0.25
             self.recovery.look(self.now, sight, 1.0)
@@ -125,7 +125,7 @@
     play.recovery.heard(2, Word(False, Phase.COLD, 3.0, (Seen(1, True, 0.2),)), play.now)
     assert play.look(0.25) is Phase.TRICKLE  # another router has met a writer
     assert play.look(3.0) is Phase.FULL
-    play.look(0.25, {role: RoleSight(0, 0.0, 0.0) for role in Role})
+    play.look(0.25, {role: RoleUsage(0, 0.0, 0.0) for role in Role})
     assert play.recovery.standing.phase is Phase.NOTHING  # a second loss
 
 
--- a/tests/test_hearsay.py
+++ b/tests/test_gossip.py
@@ -14,27 +14,27 @@
 from scenario import KeptLog
 
 from hopshed import wire
-from hopshed.hearsay import DOUBTED_FOR, KEPT, SAID_FOR, WAIT_FOR, Hearsay
+from hopshed.gossip import DOUBTED_FOR, KEPT, SAID_FOR, WAIT_FOR, Gossip
 from hopshed.interface import Effect, Log, Outcome, PeerSaid, Send, Tell
 from yewhook.loop import Loop
 from yewhook.platform.peers import Peers
 
 
-def hearsay(**kw: Any) -> Hearsay:
-    return Hearsay(settings(**(dict[str, Any](may_tell=True, instances=40) | kw)))
+def gossip(**kw: Any) -> Gossip:
+    return Gossip(settings(**(dict[str, Any](may_tell=True, instances=40) | kw)))
 
 
 def test_a_failure_that_one_has_seen_is_doubted_by_the_others_for_a_while() -> None:
-    word = hearsay().failed(7, 100.0)
+    word = gossip().failed(7, 100.0)
     assert word is not None
-    other = hearsay()
+    other = gossip()
     other.hear(word, 100.0)
     assert other.doubted(7, 100.0 + DOUBTED_FOR - 0.1) and not other.doubted(7, 100.0 + DOUBTED_FOR + 0.1)
     assert not other.doubted(8, 100.0)
 
 
 def test_nobody_repeats_what_has_just_been_said() -> None:
-    one, other = hearsay(), hearsay()
+    one, other = gossip(), gossip()
     word = one.failed(7, 100.0)
     assert word and one.failed(7, 100.0 + SAID_FOR - 0.1) is None and one.failed(7, 100.0 + SAID_FOR + 0.1)
     other.hear(word, 100.1)
@@ -43,7 +43,7 @@
 
 @pytest.mark.parametrize("kw", [{"may_tell": False}, {"instances": 1}])
 def test_nothing_is_said_where_it_is_not_permitted_or_nobody_listens(kw: dict[str, object]) -> None:
-    assert hearsay(**kw).failed(7, 100.0) is None
+    assert gossip(**kw).failed(7, 100.0) is None
 
 
 @given(
@@ -52,7 +52,7 @@
     | st.binary(min_size=9, max_size=9).map(lambda data: b"S" + data)
 )
 def test_a_message_is_understood_whole_or_refused(data: bytes) -> None:
-    table = hearsay()
+    table = gossip()
     try:
         slow = table.hear(data, 100.0)
     except ValueError:
@@ -63,7 +63,7 @@
 
 @given(st.integers(0, 2**64 - 1), st.floats(0.0, 100.0))
 def test_a_wait_comes_as_it_was_told_and_is_told_by_one_router_at_a_time(server: int, wait: float) -> None:
-    one, other = hearsay(), hearsay()
+    one, other = gossip(), gossip()
     word = one.slow(server, wait, 100.0)
     assert word and one.slow(server, wait, 100.0 + WAIT_FOR / 2) is None
     said = other.hear(word, 100.1)
@@ -73,7 +73,7 @@
 
 
 def test_words_of_servers_that_nobody_knows_do_not_pile_up() -> None:
-    table = hearsay()
+    table = gossip()
     for n in range(4 * KEPT):
         table.hear((b"F" if n % 2 else b"S") + n.to_bytes(8, "big") + (b"" if n % 2 else b"\x0a"), n / 10)
     assert len(table._heard) + len(table._waits) <= KEPT + 1
@@ -83,7 +83,7 @@
     """The writers that unsafe turns go to, after another router has, or has not, told of a failure at 11."""
     b = Bench(effect=Effect.UNSAFE, may_tell=True, instances=40)
     if told:
-        word = hearsay().failed(11, b.now)
+        word = gossip().failed(11, b.now)
         assert word is not None
         b.do(PeerSaid(3, word))
     for n in range(turns):
@@ -131,7 +131,7 @@
 
 
 def test_on_the_simulators_wire() -> None:
-    word = hearsay().failed(2**40, 1.0)
+    word = gossip().failed(2**40, 1.0)
     assert word is not None
     row = wire.action("router/1", Tell(word))
     assert row.startswith('["share","router/1","all","')
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -9,6 +9,7 @@
 import pytest
 from helpers import server, settings
 
+from hopshed.gossip import Gossip
 from hopshed.health import (
     DOUBT_TIME,
     EJECT_BASE,
@@ -19,13 +20,12 @@
     SILENT_TIMES,
     Health,
 )
-from hopshed.hearsay import Hearsay
 from hopshed.interface import Load, Role, ServerState
 from hopshed.pace import Paces
 from hopshed.probes import MAX_BUDGET, MIN_AGE, MIN_AGE_DRAWN, PER_REQUEST, Probes
-from hopshed.reach import Reach
 from hopshed.state import Attempt, Worker
 from hopshed.waits import Waits
+from hopshed.zone_reachability import ZoneReachability
 
 NOW = 100.0
 KINDS = {Role.READER: 0, Role.WRITER: 1, Role.MIXED: 2}
@@ -37,8 +37,8 @@
 
 def health(**kw: Any) -> Health:
     figures = settings(**kw)
-    hearsay = Hearsay(figures)
-    return Health(figures, Reach(), hearsay, Waits(hearsay), Paces())
+    gossip = Gossip(figures)
+    return Health(figures, ZoneReachability(), gossip, Waits(gossip), Paces())
 
 
 def waiting(w: Worker, since: float, read: bool = False) -> Worker:
@@ -132,8 +132,8 @@
 def probes(**kw: Any) -> Probes:
     base: dict[str, Any] = {"may_probe": True, "report_fields": ("utilization",)}
     figures = settings(**(base | kw))
-    hearsay = Hearsay(figures)
-    return Probes(figures, Health(figures, Reach(), hearsay, Waits(hearsay), Paces()))
+    gossip = Gossip(figures)
+    return Probes(figures, Health(figures, ZoneReachability(), gossip, Waits(gossip), Paces()))
 
 
 def test_probes_for_load_are_held_to_a_budget_that_requests_earn() -> None:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -121,7 +121,7 @@
 def sizes(p: Platform) -> list[int]:
     module, router, registry = p.front.router._module, p.front.router, p.front.registry
     tables: list[Sized] = [
-        module.workers, module.requests, module.kept.uses, module.popularity.seen, module.sessions,
+        module.workers, module.requests, module.prefix_cache.uses, module.popularity.seen, module.sessions,
         router.lives, router.servers, router.table.told_off, registry.addresses, registry.states,
         p.front.pool._idle, p.front.workers._out, p.front.clients.connections, p.service.loop.deadlines._due,
     ]  # fmt: skip
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -12,23 +12,23 @@
 from hypothesis import strategies as st
 
 from hopshed.backlog import EXCESS_FADES, QUEUE_MOST, Backlog
-from hopshed.hearsay import MOST_STEPS, NO_TEXT, READING, READING_BYTES, Hearsay, Reading, tag
+from hopshed.gossip import MOST_STEPS, NO_TEXT, READING, READING_BYTES, Gossip, Reading, tag
 from hopshed.interface import ListKind, Log, Outcome, PeerSaid, Role, Send, ServersListed, StreamStarted, Tell
-from hopshed.kept import MOST, KeptTexts
 from hopshed.pace import Paces
-from hopshed.places import LEAN_LEAST, LEAN_MOST, Places
 from hopshed.popularity import DOUBT, DROPPED, Popularity
-from hopshed.reach import AVOIDED_FOR, Reach
+from hopshed.prefix_cache import MAX_ENTRIES, PrefixCacheIndex
 from hopshed.rendezvous import Rendezvous
 from hopshed.state import Worker
+from hopshed.topology import LEAN_LEAST, LEAN_MOST, Topology
+from hopshed.zone_reachability import AVOIDED_FOR, ZoneReachability
 
 READERS = tuple(server(n, 0) for n in range(1, 9))
 FLEET = (*READERS, server(11, 1), server(12, 1))
 STEP = 0.2  # s, of 40 routers and the helpers' one class
 
 
-def hearsay(*servers: int, **kw: Any) -> Hearsay:
-    one = Hearsay(settings(**(dict[str, Any](may_tell=True, instances=40) | kw)))
+def gossip(*servers: int, **kw: Any) -> Gossip:
+    one = Gossip(settings(**(dict[str, Any](may_tell=True, instances=40) | kw)))
     one.listed(servers)
     return one
 
@@ -97,7 +97,7 @@
 
 
 def test_a_read_comes_as_it_was_told() -> None:
-    one, other = hearsay(7, 8), hearsay(7, 8)
+    one, other = gossip(7, 8), gossip(7, 8)
     word = one.reading(7, 4 * STEP, "manual", 0.0)
     assert word is not None and len(word) == READING_BYTES
     said = other.hear(word, 1.0)
@@ -109,7 +109,7 @@
 
 def test_small_reads_are_told_by_chance_and_sum_up() -> None:
     """Every one told would cost twice as much; none told would leave a server full of them idle to others."""
-    one, other, draw = hearsay(7), hearsay(7), Random(3)
+    one, other, draw = gossip(7), gossip(7), Random(3)
     words = [one.reading(7, 0.2 * STEP, None, draw.random()) for _ in range(4000)]
     heard = [other.hear(word, 1.0) for word in words if word is not None]
     assert len(heard) < 1200
@@ -117,13 +117,13 @@
 
 
 def test_a_read_of_any_length_fits_its_byte() -> None:
-    word = hearsay(7).reading(7, 1e9, None, 0.5)
+    word = gossip(7).reading(7, 1e9, None, 0.5)
     assert word is not None and word[1] == MOST_STEPS
 
 
 @pytest.mark.parametrize("kw", [{"may_tell": False}, {"instances": 1}])
 def test_no_read_is_told_where_it_is_not_permitted_or_nobody_listens(kw: dict[str, object]) -> None:
-    assert hearsay(7, **kw).reading(7, 100.0, None, 0.5) is None
+    assert gossip(7, **kw).reading(7, 100.0, None, 0.5) is None
 
 
 @given(st.binary(min_size=5, max_size=5))
@@ -133,7 +133,9 @@
     known = {tag(str(n)) for n in b.c.workers}
     assert not only(b.do(PeerSaid(3, READING + data)), Log)
     if data[1:3].hex() not in known:
-        assert [(w.info.id, w.backlog.sent) for w in b.c.workers.values()] == before and not b.c.kept.uses
+        assert [
+            (w.info.id, w.backlog.sent) for w in b.c.workers.values()
+        ] == before and not b.c.prefix_cache.uses
 
 
 # ---- where reads go ----
@@ -146,7 +148,7 @@
 
 
 def told(b: Bench, number: int, work: float, prefix: str | None = None) -> None:
-    word = hearsay(*b.c.workers).reading(number, work, prefix, 0.0)
+    word = gossip(*b.c.workers).reading(number, work, prefix, 0.0)
     assert word is not None
     b.do(PeerSaid(9, word))
 
@@ -196,7 +198,7 @@
     b = fleet_of()
     acts = b.arrive("r", prefix="manual", prefix_tokens=900.0, prompt_tokens=8000.0)
     (word,) = [a.data for a in only(acts, Tell)]
-    said = hearsay(*b.c.workers).hear(word, b.now)
+    said = gossip(*b.c.workers).hear(word, b.now)
     assert isinstance(said, Reading) and said.servers == tuple(b.attempts["r"]) and said.text == tag("manual")
     assert said.work == pytest.approx(0.8, abs=STEP)
     assert not [a for a in only(b.read("r", after=0.8), Tell) if a.data[:1] == READING]
@@ -205,9 +207,9 @@
 def test_a_new_process_has_no_queue_and_keeps_nothing() -> None:
     b = fleet_of()
     told(b, 1, 3.0, "manual")
-    assert b.c.workers[1].backlog.wait(b.now) > 2 and b.c.kept.uses
+    assert b.c.workers[1].backlog.wait(b.now) > 2 and b.c.prefix_cache.uses
     b.do(ServersListed(ListKind.CHANGES, (server(1, 0, started=b.now),)))
-    assert b.c.workers[1].backlog.wait(b.now) == 0.0 and not b.c.kept.uses
+    assert b.c.workers[1].backlog.wait(b.now) == 0.0 and not b.c.prefix_cache.uses
 
 
 def test_a_server_slower_than_its_queue_is_told_to_the_others() -> None:
@@ -231,11 +233,11 @@
     gone = seed
     less.servers({n: part for n, part in everything.items() if n != gone})
     for text in (f"text {n}" for n in range(60)):
-        order = one.places(text)
-        assert order == other.places(text)
+        order = one.order(text)
+        assert order == other.order(text)
         first = min(order, key=order.__getitem__)
         if first != gone:
-            left = less.places(text)
+            left = less.order(text)
             assert min(left, key=left.__getitem__) == first
 
 
@@ -290,7 +292,7 @@
 
 
 def test_steps_grow_with_the_routers_that_hear() -> None:
-    steps = [hearsay(7, instances=n)._step for n in (2, 20, 40, 60, 400)]
+    steps = [gossip(7, instances=n)._step for n in (2, 20, 40, 60, 400)]
     assert steps == pytest.approx([0.1, 0.1, 0.2, 0.3, 0.3])
 
 
@@ -374,11 +376,11 @@
     roles = (Role.READER, Role.WRITER)
     kinds = ((0, 1), (1, 1), (1, 1), (0, 2), (1, 3))  # each server's kind and cell
     workers = [Worker(server(n, k, cell=cell), roles[k], 0.0, 0.0) for n, (k, cell) in enumerate(kinds)]
-    places = Places()
-    places.listed(workers)
-    assert places.cell(workers[0]) == pytest.approx((2 / 3) / (1 / 2))
-    assert places.weight(workers[0]) == LEAN_MOST and places.weight(workers[3]) == LEAN_LEAST
-    assert places.weight(workers[4]) == LEAN_MOST  # no reader there
+    topology = Topology()
+    topology.listed(workers)
+    assert topology.cell(workers[0]) == pytest.approx((2 / 3) / (1 / 2))
+    assert topology.weight(workers[0]) == LEAN_MOST and topology.weight(workers[3]) == LEAN_LEAST
+    assert topology.weight(workers[4]) == LEAN_MOST  # no reader there
 
 
 # ---- paces, texts, zones ----
@@ -405,11 +407,15 @@
 
 
 def test_texts_are_bounded_and_the_latest_stay() -> None:
-    kept = KeptTexts()
-    for n in range(MOST + 10):
+    kept = PrefixCacheIndex()
+    for n in range(MAX_ENTRIES + 10):
         kept.used(n, tag("manual"), float(n))
-    assert len(kept.uses) == MOST and kept.holds(MOST + 9, "manual") and not kept.holds(9, "manual")
-    assert not kept.holds(MOST + 9, None) and not kept.holds(MOST + 9, "other")
+    assert (
+        len(kept.uses) == MAX_ENTRIES
+        and kept.holds(MAX_ENTRIES + 9, "manual")
+        and not kept.holds(9, "manual")
+    )
+    assert not kept.holds(MAX_ENTRIES + 9, None) and not kept.holds(MAX_ENTRIES + 9, "other")
 
 
 ZONES = (*(server(n, 0, zone=n % 2) for n in range(1, 9)), server(11, 1, zone=0), server(12, 1, zone=1))
@@ -439,7 +445,7 @@
     for silent, later, zones in (((1,), 0, {0, 1}), ((1, 3), 0, {0}), ((1, 3), AVOIDED_FOR + 0.1, {0, 1})):
         b = Bench(ZONES)  # a machine alone is no zone
         for number in silent:
-            b.c.reach.silent(1, number, 0.25, b.now)
+            b.c.zones.silent(1, number, 0.25, b.now)
         b.now += later
         assert zones_of(b, "r") == zones
 
@@ -448,12 +454,12 @@
     b = Bench(ZONES)
     lost(b, "a", 1)
     lost(b, "b", 1)
-    silent = b.c.reach.cut_off(b.now)
+    silent = b.c.zones.cut_off(b.now)
     assert silent <= {1}
-    b.c.reach.silent(1, 99, 0.25, b.now)
-    assert b.c.reach.cut_off(b.now) == {1}
-    b.c.reach.alive(1)
-    assert not b.c.reach.cut_off(b.now)
+    b.c.zones.silent(1, 99, 0.25, b.now)
+    assert b.c.zones.cut_off(b.now) == {1}
+    b.c.zones.alive(1)
+    assert not b.c.zones.cut_off(b.now)
 
 
 def test_the_end_of_a_read_is_a_sign_of_life_of_its_zone() -> None:
@@ -462,25 +468,25 @@
     for rid in turns:
         b.arrive(rid)
     there = next(rid for rid in turns if b.c.workers[b.attempts[rid][0]].info.zone == 1)
-    b.c.reach.silent(1, 1, 0.25, b.now)
-    b.c.reach.silent(1, 3, 0.25, b.now)
-    assert b.c.reach.cut_off(b.now) == {1}
+    b.c.zones.silent(1, 1, 0.25, b.now)
+    b.c.zones.silent(1, 3, 0.25, b.now)
+    assert b.c.zones.cut_off(b.now) == {1}
     b.read(there)
-    assert not b.c.reach.cut_off(b.now)
+    assert not b.c.zones.cut_off(b.now)
 
 
 def test_a_refused_connection_is_a_process_and_not_a_zone() -> None:
-    reach = Reach()
-    reach.silent(1, 5, 0.002, 100.0)
-    reach.silent(1, 6, 0.002, 100.0)
-    assert not reach.cut_off(100.0)
+    zones = ZoneReachability()
+    zones.silent(1, 5, 0.002, 100.0)
+    zones.silent(1, 6, 0.002, 100.0)
+    assert not zones.cut_off(100.0)
 
 
 def test_where_every_zone_is_cut_off_none_is_left_out() -> None:
     b = Bench(ZONES)
     for zone, number in ((0, 2), (0, 4), (1, 1), (1, 3)):
-        b.c.reach.silent(zone, number, 0.25, b.now)
-    assert b.c.reach.cut_off(b.now) == {0, 1} and zones_of(b, "r", 6)
+        b.c.zones.silent(zone, number, 0.25, b.now)
+    assert b.c.zones.cut_off(b.now) == {0, 1} and zones_of(b, "r", 6)
 
 
 # ---- what makes no sense ----
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -9,9 +9,9 @@
 from helpers import server, settings
 
 from hopshed.interface import Load, Role, ServerState
-from hopshed.places import Places
 from hopshed.room import LIMIT_CUT, LIMIT_START, MIN_LIMIT, REPORT_TTL, SMOOTHING, Room
 from hopshed.state import Worker
+from hopshed.topology import Topology
 
 NOW = 100.0
 
@@ -21,9 +21,9 @@
 
 
 def room(*workers: Worker, **kw: Any) -> Room:
-    places = Places()
-    places.listed(workers)
-    return Room(settings(**kw), places)
+    topology = Topology()
+    topology.listed(workers)
+    return Room(settings(**kw), topology)
 
 
 def report(w: Worker, load: Load) -> Worker:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -14,8 +14,8 @@
 
 from hopshed import Controller, wire
 from hopshed import interface as i
+from hopshed.gossip import Gossip
 from hopshed.handover import know
-from hopshed.hearsay import Hearsay
 from yewhook.core.release_call import Candidate, ReleaseCall, Result
 from yewhook.log import Log
 from yewhook.loop import Loop
@@ -90,7 +90,7 @@
 
 
 def test_words_of_1024_servers_are_kept_and_told() -> None:
-    words = Hearsay(wire.settings(ENV | {"instances": COUNT, "caps": {"may-tell": True}}))
+    words = Gossip(wire.settings(ENV | {"instances": COUNT, "caps": {"may-tell": True}}))
     words.listed(range(1, COUNT + 1))
     for server in range(1, COUNT + 1):
         told = words.failed(server, 10.0)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -119,7 +119,7 @@
     new = Bench(fleet=[info for info, _ in form.servers(got.servers)], tenants=())
     give(new.c, got.module, old.now)
     assert new.c.sessions == {"s": Session(1.5, old.c.sessions["s"].reader, 1000.0, old.c.sessions["s"].at)}
-    assert new.c.kept.uses.keys() == old.c.kept.uses.keys()
+    assert new.c.prefix_cache.uses.keys() == old.c.prefix_cache.uses.keys()
     assert new.c.paces.of[Role.READER] == old.c.paces.of[Role.READER] > 0
     assert (new.c.workers[1].errors, new.c.workers[1].ejected) == (0.7, 105.0)
     # Both may send to a cold server for a moment: they have the budget of one.
--- a/yewhook/core/ports.py
+++ b/yewhook/core/ports.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
-from hopshed.interface import Action, Event, Load, Role, RoleSight
+from hopshed.interface import Action, Event, Load, Role, RoleUsage
 
 from .ending import Ending
 
@@ -71,7 +71,7 @@
     """Judges the service as a whole, beside the module, which goes on to decide on each request."""
 
     def before(
-        self, now: float, events: Sequence[Event], sight: Callable[[float], dict[Role, RoleSight]]
+        self, now: float, events: Sequence[Event], sight: Callable[[float], dict[Role, RoleUsage]]
     ) -> list[Event]:
         """The events that the module is to hear of this turn."""
 
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -14,7 +14,7 @@
 from hopshed import Controller
 from hopshed import interface as i
 from hopshed.handover import Knowledge, give, know, remind, take
-from hopshed.sights import sight
+from hopshed.role_usage import role_usage
 
 from ..deadlines import Deadline, Deadlines
 from ..log import Log
@@ -223,7 +223,7 @@
                     life.stage = Stage.DECIDING if life.stage is Stage.ACCEPTED else life.stage
             try:
                 if self.governor is not None:
-                    heard, sees = events, partial(sight, self._module)
+                    heard, sees = events, partial(role_usage, self._module)
                     events = self._governed(lambda g: g.before(now, heard, sees), heard)
                 actions = self._module.handle(now, events)
                 if self.governor is not None:
--- a/yewhook/levels/capacity.py
+++ b/yewhook/levels/capacity.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from hopshed.estimate import Estimate
-from hopshed.interface import Role, RoleSight
+from hopshed.interface import Role, RoleUsage
 
 SPAN = 40.0  # s; time constant of what is learnt: some streams' time, for use lags what was sent
 ENOUGH = 2.0  # server-seconds in use, below which nothing is known
@@ -54,7 +54,7 @@
         self.reading.sent(work, now)
         self.writing.sent(work, now)
 
-    def look(self, sight: dict[Role, RoleSight], now: float) -> None:
+    def look(self, sight: dict[Role, RoleUsage], now: float) -> None:
         reader, writer, mixed = sight[Role.READER], sight[Role.WRITER], sight[Role.MIXED]
         use = writer.busy * writer.usable + mixed.busy * mixed.usable
         writing = writer.usable + mixed.usable
--- a/yewhook/levels/governor.py
+++ b/yewhook/levels/governor.py
@@ -41,7 +41,7 @@
     first: float | None = None  # when its answer began
 
 
-Sight = Callable[[float], dict[Role, i.RoleSight]]
+Sight = Callable[[float], dict[Role, i.RoleUsage]]
 
 
 class Governor:
@@ -194,7 +194,7 @@
 
     # ---- looks ----
 
-    def _look(self, now: float, sight: dict[Role, i.RoleSight]) -> None:
+    def _look(self, now: float, sight: dict[Role, i.RoleUsage]) -> None:
         self._next = now + LOOK
         for rid in [rid for rid, entry in self._open.items() if entry.until < now and entry.first is None]:
             del self._open[rid]
@@ -217,7 +217,7 @@
         top = top_classes(self.settings, self._turns.mean_work)
         self._shares = admit(self.ladder.level, demand, capacity, self.settings, top, self.signals.late)
 
-    def _judge(self, now: float, sight: dict[Role, i.RoleSight]) -> Signals:
+    def _judge(self, now: float, sight: dict[Role, i.RoleUsage]) -> Signals:
         vitals = self._vitals()
         if not self._register.known:  # nothing has been listed yet: there is nothing to judge by
             return Signals(descriptors=vitals.descriptors, memory=vitals.memory)
@@ -241,7 +241,7 @@
         )
 
     @staticmethod
-    def _missing(own: i.RoleSight, mixed: i.RoleSight) -> float:
+    def _missing(own: i.RoleUsage, mixed: i.RoleUsage) -> float:
         """Part of a stage's servers that is out of use; all of it where none is listed."""
         listed = own.listed + mixed.listed
         return 1.0 - min(1.0, (own.usable + mixed.usable) / listed) if listed else 1.0
--- a/yewhook/recovery/recovery.py
+++ b/yewhook/recovery/recovery.py
@@ -281,7 +281,7 @@
         """What was usual before, by this router's snapshot."""
         self._usual, self._rates_told = usual, False
 
-    def look(self, now: float, sight: dict[Role, i.RoleSight], mean_worth: float) -> None:
+    def look(self, now: float, sight: dict[Role, i.RoleUsage], mean_worth: float) -> None:
         self._judge(now)
         self._mean_worth = mean_worth
         self.ramp.late.least = FEW * mean_worth
@@ -308,7 +308,7 @@
         if changed:
             self._say("restart judged", str(verdict))
 
-    def _sight(self, now: float, sight: dict[Role, i.RoleSight]) -> Sight:
+    def _sight(self, now: float, sight: dict[Role, i.RoleUsage]) -> Sight:
         mixed = sight[Role.MIXED]
         stages = [(sight[role].usable + mixed.usable, sight[role].listed + mixed.listed)
                   for role in (Role.READER, Role.WRITER)]  # fmt: skip
