--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 from collections.abc import Callable
 from random import Random
@@ -18,6 +17,7 @@
 from .estimate import Estimate
 from .gossip import NO_TEXT, Gossip, Reading, Slow, tag
 from .health import Health
+from .hold_queue import HoldQueue
 from .pace import Paces
 from .popularity import Popularity
 from .prefix_cache import PrefixCacheIndex
@@ -31,9 +31,8 @@
 from .waits import WAIT_DECAY, Waits
 from .zone_reachability import ZoneReachability
 
-TICK, LOOK_EVERY, LIFT = 0.05, 4, 4.0  # s; ticks between looks over the fleet; wait over CST that lifts
+TICK, LOOK_EVERY = 0.05, 4  # s; ticks between looks over the fleet
 SESSION_IDLE, ORDERS_KEPT = 60.0, 500  # s unused until sessions and kept texts are dropped; hash orders kept
-FORGET = 30.0  # s until a server that is gone is forgotten
 LOAD_BOUND = 2.0  # a reader holding over this times the median of our reads is passed over
 GAIN, SLOW_GAIN = 0.25, 0.05  # weight of a sample in averages
 DRAG_MAX, READ_SHARE = 4.0, 0.6  # most that one stream counts for in drag; reading's part at mixed servers
@@ -65,8 +64,7 @@
         self.workers: dict[int, Worker] = {}
         self.sessions: dict[str, Session] = {}
         self.requests: dict[str, Request] = {}
-        self.by_cst: list[tuple[bool, float, int, Request]] = []
-        self.by_lift: list[tuple[float, int, Request]] = []
+        self.queue = HoldQueue()
         self.chance = self.random.random()
         self.ranks, self.lean = Rendezvous(ORDERS_KEPT), 1.0  # weight of readers, on average
         self.topology = Topology()
@@ -83,7 +81,7 @@
         self.waits = Waits(self.gossip)
         self.health = Health(settings, self.zones, self.gossip, self.waits, self.paces)
         self.probes = Probes(settings, self.health)
-        self.serial = self.held = self.timer = 0
+        self.timer = 0
         self.log_at = -math.inf
         self.ask_at, self.ask_wait = math.inf, ASK_FIRST
         self.acts: list[i.Action] = []
@@ -195,12 +193,10 @@
         self.class_tokens[ev.cls] = old + SLOW_GAIN * (ev.prompt_tokens - old) if old else ev.prompt_tokens
         self.room.arrived(ev.prompt_tokens + ev.max_tokens / 2)
         req.over = self.quotas.over(ev.tenant, now)
-        self.serial, self.held = self.serial + 1, self.held + 1
         if ev.admit < 1.0 and self.random.random() >= ev.admit:
+            req.held = False
             return self._finish(req, f"gave way at {self.service.name or 'full'}", gave_way=True)
-        heapq.heappush(self.by_cst, (req.over, req.cst, self.serial, req))
-        if not req.over:
-            heapq.heappush(self.by_lift, (now + LIFT * req.cst, self.serial, req))
+        self.queue.push(req, now)
 
     def _started(self, ev: i.StreamStarted, now: float) -> None:
         req, a = self._attempt(ev.id, ev.attempt)
@@ -376,9 +372,8 @@
         return self.room.smoothed(role, self.pool(role, now), now)
 
     def _pump(self, now: float) -> None:
-        if not self.held:
-            self.by_cst, self.by_lift = [], []  # what is left was released by way of the other heap
-            return
+        if not self.queue.count:
+            return self.queue.tidy()
         reading = sum(w.reads for w in self.workers.values())
         free = {True: self._free(i.Role.MIXED, now), False: self._free(i.Role.WRITER, now) - reading}
         self.room.smoothed_until(now)
@@ -391,22 +386,13 @@
         free[True] *= max(0.0, 1 - busy / READ_SHARE)
         idle = not any(w.reads or w.streams for w in self.workers.values())
         # Part of a place is given by chance, else what is too little for each router stays unused.
-        while self.held and (idle or max(free.values()) >= self.chance):
+        while self.queue.count and (idle or max(free.values()) >= self.chance):
             self.chance = self.random.random()
-            mixed = self._route(self._pop(now), free, now)
+            mixed = self._route(self.queue.pop(now), free, now)
             if mixed is not None:
                 free[mixed] -= 1
                 idle = False
 
-    def _pop(self, now: float) -> Request:
-        """The next hold: one whose wait over CST has passed the threshold, else the lowest CST."""
-        req = None
-        while req is None or not req.held:  # either heap still names holds that the other has released
-            lifted = self.by_lift and self.by_lift[0][0] <= now
-            req = heapq.heappop(self.by_lift)[2] if lifted else heapq.heappop(self.by_cst)[3]
-        req.held, self.held = False, self.held - 1
-        return req
-
     def _route(self, req: Request, free: dict[bool, float], now: float) -> bool | None:
         room, last = {m: max(0.0, free[m]) for m in free}, self._last(req)
         first = self.random.random() * (room[True] + room[False]) < room[True]
@@ -610,7 +596,7 @@
 
     def _close(self, req: Request) -> None:
         req.done = True
-        self.held, req.held = self.held - req.held, False
+        self.queue.remove(req)
         if self.s.may_cancel:
             waits = [n for n, a in enumerate(req.attempts) if a.live and not a.streaming]
             self.acts += [i.CancelAttempt(req.ev.id, n) for n in waits]
@@ -656,16 +642,11 @@
             self.counts, self.log_at = {}, now
 
     def _forget(self, now: float) -> None:
-        """Guards against growth with ids that never come again. In a long overload the heaps still name turns
-        that the other heap has released, so they are built anew when most of what they name is over."""
-        for n in [n for n, w in self.workers.items() if now - w.gone_at > FORGET]:
+        """Guards against growth with ids that never come again."""
+        for n in [n for n, w in self.workers.items() if now - w.gone_at > i.FORGET_AFTER]:
             del self.workers[n]
             self.gossip.forget(n)
-        if len(self.by_cst) + len(self.by_lift) > 4 * self.held + ORDERS_KEPT:
-            self.by_cst = [entry for entry in self.by_cst if entry[-1].held]
-            self.by_lift = [entry for entry in self.by_lift if entry[-1].held]
-            heapq.heapify(self.by_cst)
-            heapq.heapify(self.by_lift)
+        self.queue.tidy()
 
     def _look_for_silent(self, now: float) -> None:
         """Eject writers that are silent though they may answer probes, and probe what is due."""
--- a/hopshed/interface.py
+++ b/hopshed/interface.py
@@ -11,6 +11,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+FORGET_AFTER = 30.0  # s for which a server that is gone is kept: no rule and no request reaches back as far
+
 
 class Role(Enum):
     READER = "reader"
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -63,7 +63,7 @@
     b = Bench(memory_tokens=(), max_attempts=9)
     for n in range(40):
         b.arrive(f"fill{n}", patience=30.0)
-    assert b.c.held > 0
+    assert b.c.queue.count > 0
     old, new = Bench(), Bench()
     for bench, wait in ((old, 10.0), (new, 0.0)):
         heavy = bench.c
@@ -80,8 +80,8 @@
         heavy.sessions["light"] = light
         bench.now += wait
         bench.arrive("l", session="light", patience=60.0)
-    assert new.c._pop(new.now).ev.id == "l" or new.c._pop(new.now).ev.id == "l"
-    assert old.c._pop(old.now).ev.id == "h"
+    assert new.c.queue.pop(new.now).ev.id == "l" or new.c.queue.pop(new.now).ev.id == "l"
+    assert old.c.queue.pop(old.now).ev.id == "h"
 
 
 def test_hold_that_cannot_meet_its_aim_is_refused_early():
@@ -250,7 +250,7 @@
     b = Bench(memory_tokens=(20000.0,) * 3)
     for n in range(60):
         b.arrive(f"r{n}")
-    assert 0 < b.c.held < 60
+    assert 0 < b.c.queue.count < 60
 
 
 def test_impossible_settings_are_refused():
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -82,9 +82,8 @@
         p.play(f"c{n} send ask id=r{n}\nwait 0.02")
     for n in range(3):
         p.play(f"c{n} close\nwait 0.02")
-    assert not module.requests and not module.held
-    named = [entry[-1] for entry in module.by_cst] + [entry[-1] for entry in module.by_lift]
-    assert not any(request.held for request in named)
+    assert not module.requests and not module.queue.count
+    assert not any(request.held for request in module.queue)
 
 
 # ---- the end of a process ----
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -7,7 +7,7 @@
 import decision_stream
 import pytest
 
-from hopshed import control, room
+from hopshed import control, hold_queue, room
 
 
 @pytest.mark.parametrize("name", decision_stream.STREAMS)
@@ -22,7 +22,7 @@
     (control, "AIM_MARGIN", 0.61),
     (control, "COMFORT", 0.55),
     (control, "STATE_HOLD", 0.2),
-    (control, "LIFT", 1.0),
+    (hold_queue, "LIFT", 1.0),
     (control, "RETRY_RATIO", 0.1),
     (room, "SMOOTHING", 0.3),
     (room, "LIMIT_CUT", 0.7),
--- a/tests/test_send_rules.py
+++ b/tests/test_send_rules.py
@@ -9,7 +9,7 @@
 from test_core import Client
 
 from hopshed import wire
-from hopshed.interface import Effect, ListKind, RequestArrived, Server, ServerState
+from hopshed.interface import FORGET_AFTER, Effect, ListKind, RequestArrived, Server, ServerState
 from yewhook.core.ending import Ending
 from yewhook.core.held_state import HeldState
 from yewhook.core.life import Attempt, Life, Stage
@@ -21,7 +21,7 @@
     refusal_is_harmless,
     withheld,
 )
-from yewhook.core.server_table import FORGET_AFTER, ServerTable, Standing
+from yewhook.core.server_table import ServerTable, Standing
 
 SETTINGS = wire.settings(ENV)
 RUNNING = Standing(True, 0.0)
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -23,7 +23,7 @@
 from .held_state import HeldState
 from .life import Attempt, Life, Stage
 from .ports import Client, Governor, Workers
-from .server_table import FORGET_AFTER, ServerTable
+from .server_table import ServerTable
 from .spent_ids import SpentIds
 
 T = TypeVar("T")
@@ -128,7 +128,7 @@
         now = self._clock()
         changes = self.table.update(kind, servers, now)
         for number in changes.gone:
-            self._deadlines.set(now + FORGET_AFTER, partial(self._forget, number))
+            self._deadlines.set(now + i.FORGET_AFTER, partial(self._forget, number))
         self._facts.append(i.ServersListed(kind, servers))
         for life in list(self.lives.values()) if changes.told_off else ():
             out = life.out
--- a/yewhook/core/server_table.py
+++ b/yewhook/core/server_table.py
@@ -5,9 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from hopshed.interface import ListKind, Server, ServerState
-
-FORGET_AFTER = 30.0  # s for which a server that is gone is kept: no rule and no request reaches back as far
+from hopshed.interface import FORGET_AFTER, ListKind, Server, ServerState
 
 
 @dataclass(frozen=True, slots=True)
