--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -20,11 +20,11 @@
 from ..front import ROOM_STEP, ClientConnections
 from ..loop import Loop, Timer
 from ..operations.instance import Posture
+from ..slow_reader import SlowReader
 from . import http
 
 CHAT = b"/v1/chat/completions"
 SLOW, CAUGHT_UP = 65536, 16384  # bytes not yet taken by a client: stop reading its stream, and go on
-STALLED = 10.0  # s in which a slow client takes nothing at all
 TRANSIT = 0.001  # s taken off a client's time for the way of its request and of our answer
 PIPELINE = 4  # requests that may wait on one connection behind the one in hand
 ARRIVE = 2.2  # s for a request to arrive whole; for a connection's first one from when it was accepted
@@ -122,12 +122,13 @@
         self.request_id = ""  # of the request that the core has in hand
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._head_size = self._unended = 0  # of what is parsed; of what is read and may not be
-        self._in_head = self._opened = self._last = self._slow = False
+        self._in_head = self._opened = self._last = False
         self.idle_since = self._heard_at = front.loop.now
         self._asked = False  # whether an answer has been given on it
-        self._taken_at = 0.0  # when a slow client last took something
-        self._unsent = 0
         self.channel = Channel(front.loop, sock, self)
+        self.slow_reader = SlowReader(
+            front.loop, lambda: self.channel.unsent, self._stalled, CAUGHT_UP, self._caught_up
+        )
         self._timer = Timer(front.loop)  # for the request that is being read, or is to come first
         self._expect()
 
@@ -286,7 +287,8 @@
             arrived = understand(call, self.front.names, self.front.loop.now)
         except BadRequest as error:
             return self._turn_back(error)
-        self.request_id, self._opened, self._slow = arrived.id, False, False
+        self.request_id, self._opened = arrived.id, False
+        self.slow_reader.stop()
         if not self.front.router.accept(arrived, self, call):
             self.request_id = ""
             return self._turn_back(BadRequest(400, "X-Txn: a request with this id is open, or may have run"))
@@ -314,30 +316,24 @@
             fields = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
             self.channel.send(http.head("HTTP/1.1 200 OK", fields | self._ending_field()))
         self.channel.send(http.chunk(event))
-        if self.channel.unsent > SLOW and not self._slow:
-            self._slow, self._taken_at, self._unsent = True, self.front.loop.now, self.channel.unsent
+        if self.channel.unsent > SLOW and not self.slow_reader.watching:
+            self.slow_reader.watch()
             self.front.router.client_slow(self.request_id, True)
-            self._check_stall(self.request_id)
 
-    def _check_stall(self, request_id: str) -> None:
+    def _stalled(self) -> None:
         """A client that takes nothing for long holds a worker's place: it counts as gone."""
-        if self.channel.closed or self.request_id != request_id or not self._slow:
-            return
-        if self.channel.unsent < self._unsent:
-            self._taken_at, self._unsent = self.front.loop.now, self.channel.unsent
-        if self.channel.unsent < CAUGHT_UP:
-            return self.drained()
-        if self.front.loop.now - self._taken_at > STALLED:
-            self.front.log("client stalled", request_id)
-            self.front.router.client_left(request_id, Ending.CLIENT_STALLED)
-            self._gone()
-            return self.channel.abort()
-        return self.front.loop.after(0.25, lambda: self._check_stall(request_id))
+        self.front.log("client stalled", self.request_id)
+        self.front.router.client_left(self.request_id, Ending.CLIENT_STALLED)
+        self._gone()
+        self.channel.abort()
+
+    def _caught_up(self) -> None:
+        self.front.router.client_slow(self.request_id, False)
 
     def drained(self) -> None:
-        if self._slow:
-            self._slow = False
-            self.front.router.client_slow(self.request_id, False)
+        if self.slow_reader.watching:
+            self.slow_reader.stop()
+            self._caught_up()
 
     def finish(self) -> None:
         self.channel.send(http.LAST_CHUNK)
@@ -346,6 +342,7 @@
     def break_off(self, ending: Ending) -> None:
         self.front.log("stream broken off", f"{self.request_id} {ending.name.lower()}")
         self.request_id = ""
+        self.slow_reader.stop()
         self.hang_up()
 
     def refuse(self, retry_after: float) -> None:
@@ -367,6 +364,7 @@
         if self.serving is not None:
             self.front.held -= len(self.serving.body)
         self.request_id, self.serving, self._asked = "", None, True
+        self.slow_reader.stop()
         self.idle_since = self.front.loop.now
         if self.waiting:
             self.front.loop.after(0.0, self._next)
@@ -390,6 +388,7 @@
 
     def _gone(self) -> None:
         self._timer.cancel()
+        self.slow_reader.stop()
         self.front.connections.discard(self)
         for call in filter(None, [self.call, self.serving, *self.waiting]):
             self.front.held -= len(call.body)
--- a/yewhook/toolcalls/clients.py
+++ b/yewhook/toolcalls/clients.py
@@ -14,11 +14,11 @@
 from ..front import ClientConnections
 from ..jsonrpc import Code, Id, Peer, RpcError
 from ..loop import Loop
+from ..slow_reader import SlowReader
 from .endings import TO_CLIENT
 from .workers import Shown
 
 IDLE_MOST = 60.0  # s for which a connection is kept on which nothing is asked
-STALLED = 10.0  # s in which a client takes nothing of what is written to it
 
 
 def _number(params: dict[str, Any], name: str, least: float = 0.0) -> float:
@@ -96,7 +96,7 @@
         self.front = front
         self.exchanges: dict[Id, Exchange] = {}
         self.peer = Peer.accepted(front.loop, sock, self)
-        self._slow_since: float | None = None
+        self.slow_reader = SlowReader(front.loop, lambda: self.peer.channel.unsent, self._stalled)
 
     @property
     def idle(self) -> bool:
@@ -144,27 +144,22 @@
     def slow(self, peer: Peer, slow: bool) -> None:
         for exchange in list(self.exchanges.values()):
             self.front.router.client_slow(exchange.id, slow)
-        self._slow_since = self.front.loop.now if slow else None
         if slow:
-            self._check_stall(peer.channel.unsent)
+            self.slow_reader.watch()
+        else:
+            self.slow_reader.stop()
 
-    def _check_stall(self, unsent: int) -> None:
+    def _stalled(self) -> None:
         """A client that takes nothing for long holds workers' places: it counts as gone."""
-        if self._slow_since is None or self.peer.channel.closed:
-            return
-        left = self.peer.channel.unsent
-        if left < unsent:
-            self._slow_since = self.front.loop.now
-        if self.front.loop.now - self._slow_since > STALLED:
-            self.front.loop.log("client stalled", f"{len(self.exchanges)} requests")
-            self.peer.close()
-            return self._left(Ending.CLIENT_STALLED)
-        return self.front.loop.after(0.25, lambda: self._check_stall(left))
+        self.front.loop.log("client stalled", f"{len(self.exchanges)} requests")
+        self.peer.close()
+        self._left(Ending.CLIENT_STALLED)
 
     def gone(self, peer: Peer) -> None:
         self._left(Ending.CLIENT_LEFT)
 
     def _left(self, ending: Ending) -> None:
+        self.slow_reader.stop()
         self.front.connections.discard(self)
         exchanges, self.exchanges = self.exchanges, {}
         for exchange in exchanges.values():
