--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -4,6 +4,7 @@
 
 import ast
 from graphlib import CycleError, TopologicalSorter
+from importlib.util import resolve_name
 from pathlib import Path
 
 import pytest
@@ -33,8 +34,7 @@
         if isinstance(node, ast.Import):
             found |= {alias.name for alias in node.names}
         elif isinstance(node, ast.ImportFrom):
-            base = package.split(".")[: len(package.split(".")) - node.level + 1] if node.level else []
-            origin = ".".join([*base, *([node.module] if node.module else [])])
+            origin = resolve_name("." * node.level + (node.module or ""), package)
             names = [f"{origin}.{alias.name}" for alias in node.names]
             found |= {one if one in MODULES else origin for one in names}
     return {one for one in found if one in MODULES and one != name}
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -288,7 +288,6 @@
         except BadRequest as error:
             return self._turn_back(error)
         self.request_id, self._opened = arrived.id, False
-        self.slow_reader.stop()
         if not self.front.router.accept(arrived, self, call):
             self.request_id = ""
             return self._turn_back(BadRequest(400, "X-Txn: a request with this id is open, or may have run"))
@@ -342,7 +341,6 @@
     def break_off(self, ending: Ending) -> None:
         self.front.log("stream broken off", f"{self.request_id} {ending.name.lower()}")
         self.request_id = ""
-        self.slow_reader.stop()
         self.hang_up()
 
     def refuse(self, retry_after: float) -> None:
