Log each request's attempts, refusals and releases by id, and long turns

The incident's logs could not tell what became of a request: no line had the id of a request beside its attempts, none told why the module did not serve it, why a connection was closed, or for how long the loop heard nothing. 'attempt ended', 'request refused', 'request failed', 'client left', 'turn took long' are written always, each only so often; with PROXY_REQUEST_LOG=all every step of every request is. The module tells its reason by a callback, so its actions, and the record they are held to, are as before.

--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -57,8 +57,12 @@
 class Controller:
     """One router's decisions. `handle` takes what happened and returns what to do; it keeps no clock."""
 
-    def __init__(self, settings: i.Settings, seed: int) -> None:
+    def __init__(
+        self, settings: i.Settings, seed: int, explain: Callable[[str, str], None] | None = None
+    ) -> None:
+        """`explain` hears the id of each request that is not served, and why, for the log."""
         self.s, self.random = settings, Random(seed)
+        self._explain = explain
         self.steered = not {"utilization", "memory_share"}.isdisjoint(settings.report_fields)
         self.tells = bool({"queued", "backlog_tokens"} & set(settings.report_fields))  # readers' queues
         self.workers: dict[int, Worker] = {}
@@ -578,6 +582,8 @@
     def _finish(self, req: Request, why: str, gave_way: bool = False) -> None:
         """Answer a request that is not served: refused where trying again is harmless, else failed."""
         self.counts[why] = self.counts.get(why, 0) + 1
+        if self._explain is not None:
+            self._explain(req.ev.id, why)
         self.leaving[req.tenant] *= 1 - LEAVE_FADE  # a bounded aim must not keep itself up
         cls = self.s.classes[req.ev.cls]
         if (
--- a/yewhook/cli.py
+++ b/yewhook/cli.py
@@ -32,6 +32,7 @@
     from .recovery.keeper import Keeper
     from .recovery.settings import RecoverySettings
 
+REQUEST_LOG = "PROXY_REQUEST_LOG"  # "all" = write each step of each request, for those who look for a fault
 UPGRADE_PATIENCE = 20.0  # s; the agent gives up before
 app = typer.Typer(no_args_is_help=True, add_completion=False, help="A router for model servers.")
 
@@ -51,7 +52,7 @@
 ) -> None:
     """Run one router until SIGTERM."""
     name = os.environ.get("PROXY_NAME", "router")
-    service = Service(Log(name))
+    service = Service(Log(name, detailed=os.environ.get(REQUEST_LOG) == "all"))
     service.heed_signals()
     fronts: list[RouterFront] = []
     keeper = None
--- a/yewhook/core/life.py
+++ b/yewhook/core/life.py
@@ -31,6 +31,9 @@
     ending: Ending | None = None
     timer: Deadline | None = None
 
+    def __str__(self) -> str:
+        return f"{'read' if self.reads else 'attempt'} {self.number} at {self.server}"
+
 
 @dataclass(eq=False, slots=True)
 class Life:
@@ -44,6 +47,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     timers: list[Deadline] = field(default_factory=list)
     let_go: Deadline | None = None
+    reason: str = ""  # why the module does not serve it, for the log
 
     @property
     def id(self) -> str:
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -49,7 +49,7 @@
         self.lives: dict[str, Life] = {}
         self.table = ServerTable()
         self._spent = SpentIds()
-        self._module = Controller(settings, seed)
+        self._module = Controller(settings, seed, self._explained)
         self._seed = seed
         self._deadlines, self._clock = deadlines, clock
         self._facts: list[i.Event] = []
@@ -86,12 +86,15 @@
         at = life.deadline + ANSWER_GRACE
         life.timers.append(self._deadlines.set(at, lambda: self._overdue(life)))
         self._facts.append(arrived)
+        if self.log.detailed:
+            self.log("request accepted", f"{arrived.id} class {arrived.cls}, {arrived.patience:.3f} s left")
         return True
 
     def client_left(self, request_id: str, ending: Ending = Ending.CLIENT_LEFT) -> None:
         life = self.lives.get(request_id)
         if life is None or life.stage is Stage.ENDED:
             return
+        self.log("client left", f"{request_id} {life.stage.name.lower()}: {ending.name.lower()}")
         if life.stage is not Stage.STREAMING:
             self._facts.append(i.ClientGone(request_id))
         self._end(life, ending)
@@ -100,6 +103,7 @@
         """Answer a request now, whatever the module would still have done for it."""
         life = self.lives.get(request_id)
         if life is not None and life.unanswered:
+            life.reason = "given up"
             self._facts.append(i.ClientGone(request_id))
             self._decline(life, 0.0)
 
@@ -208,6 +212,8 @@
             life.stage = Stage.DECIDING
         closed = life.stage is Stage.ENDED
         latency = self._clock() - attempt.sent
+        if self.log.detailed or ending not in (Ending.SERVED, Ending.READ):
+            self.log("attempt ended", f"{request_id} {attempt}: {ending.name.lower()}, {latency:.3f} s")
         self._facts.append(
             i.AttemptEnded(request_id, number, attempt.server, outcome, latency, closed, note, load)
         )
@@ -263,13 +269,18 @@
         """The module failed half-way: answer what waits on it, and go on with a fresh one."""
         for life in list(self.lives.values()):
             if life.unanswered:
+                life.reason = "the module failed"
                 self._decline(life, 0.0)
         if self.governor is not None:
             self.governor.start_over()
         self._deadlines.cancel(self._module_timer)
-        self._module = Controller(self.settings, self._seed)
+        self._module = Controller(self.settings, self._seed, self._explained)
         self._facts = [i.ServersListed(i.ListKind.FULL, self._listed())]
 
+    def _explained(self, request_id: str, reason: str) -> None:
+        if life := self.lives.get(request_id):
+            life.reason = reason
+
     # ---- the module's actions ----
 
     def _send(self, act: i.Send) -> None:
@@ -298,6 +309,8 @@
         life.stage = Stage.ATTEMPT_OUT
         self._deadlines.cancel(life.let_go)
         attempt.timer = self._deadlines.set(self._clock() + timeout, lambda: self._timed_out(life, attempt))
+        if self.log.detailed:
+            self.log("attempt sent", f"{act.id} {attempt}: time-out {timeout:.3f} s")
         begins = send_rules.connect_within(life, self.settings, self._clock())
         self.workers.send(act.id, number, act.server, life.call, timeout, begins)
 
@@ -308,6 +321,7 @@
     def _decline(self, life: Life, retry_after: float) -> None:
         """Refuse, which promises that a repeat is harmless, or fail where that can't be promised."""
         if send_rules.refusal_is_harmless(life, self.settings):
+            self.log("request refused", f"{life.id} after {len(life.attempts)} attempts: {life.reason}")
             self._end(life, None, lambda: life.client.refuse(retry_after))
         else:
             self._fail(i.Fail(life.id))
@@ -315,6 +329,7 @@
     def _fail(self, act: i.Fail) -> None:
         if life := self.lives.get(act.id):
             last = life.attempts[-1].ending if life.attempts else None
+            self.log("request failed", f"{life.id} after {len(life.attempts)} attempts: {life.reason}")
             self._end(life, None, lambda: life.client.fail(last))
 
     def _release(self, act: i.ReleaseState) -> None:
@@ -360,6 +375,7 @@
 
     def _overdue(self, life: Life) -> None:
         if life.unanswered:
+            life.reason = "overdue"
             self.log("answer overdue", life.id)
             self._decline(life, 0.0)
 
@@ -412,4 +428,6 @@
         life.held.cleared()
         last = life.attempts[-1].ending if life.attempts else None
         begin_at = now + CLOSE_SEEN if last in GIVEN_UP else now
+        if self.log.detailed:
+            self.log("state let go", f"{life.id} {life.stage.name.lower()}, due in {due - now:.3f} s")
         self.workers.release(life.id, begin_at, due)
--- a/yewhook/log.py
+++ b/yewhook/log.py
@@ -80,8 +80,9 @@
     """`event` names what happened, in fixed words that the on-call page lists; `detail` says the rest, and
     `figures` are what machines read of it."""
 
-    def __init__(self, name: str, form: Form = Form.CONSOLE) -> None:
-        self.name = name
+    def __init__(self, name: str, form: Form = Form.CONSOLE, detailed: bool = False) -> None:
+        """`detailed` = write each step of each request, too, and every line of each event."""
+        self.name, self.detailed = name, detailed
         self._handler, self._limit = _Stderr(), RateLimit()
         self.use(form)
 
@@ -92,7 +93,7 @@
     def __call__(self, event: str, detail: str = "", **figures: object) -> None:
         # Bad clients cause lines by the hundred: one that is left out must cost next to nothing, and a
         # logger's own way to a record walks the stack first.
-        left_out = self._limit.left_out(event)
+        left_out = 0 if self.detailed else self._limit.left_out(event)
         if left_out is None:
             return
         record = logging.LogRecord(self.name, logging.INFO, "", 0, event, None, None)
--- a/yewhook/loop.py
+++ b/yewhook/loop.py
@@ -12,6 +12,7 @@
 from .log import Log
 
 Handler = Callable[[int], None]
+LONG_TURN = 0.1  # s; a turn that takes longer is logged: nothing else is heard meanwhile
 
 
 class HasFile(Protocol):
@@ -74,9 +75,20 @@
         for key, mask in ready:
             if self._selector.get_map().get(key.fd) is key:  # an earlier handler may have closed it
                 self._guard(lambda key=key, mask=mask: key.data(mask))  # type: ignore[misc]
+        heard = self._clock()
         for call in (*self.deadlines.due(self.now), *self.gatherers):
             self._guard(call)
-        return any([decider.turn(self.now) for decider in self.deciders])
+        timed = self._clock()
+        again = any([decider.turn(self.now) for decider in self.deciders])
+        self._watch_length(len(ready), heard, timed)
+        return again
+
+    def _watch_length(self, ready: int, heard: float, timed: float) -> None:
+        """Log a turn that has kept everything else waiting, and which part of it did."""
+        end = self._clock()
+        if end - self.now > LONG_TURN:
+            parts = f"{heard - self.now:.3f} s at {ready} files, {timed - heard:.3f} s at timers"
+            self.log("turn took long", f"{end - self.now:.3f} s: {parts}, {end - timed:.3f} s deciding")
 
     def _guard(self, call: Callable[[], None]) -> None:
         """One socket's failure must not take the others along."""
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -151,6 +151,7 @@
     def give_way(self) -> None:
         """Close at once, unless a request has just come; waiting for the client to close keeps the place."""
         if not self.unread:
+            self.front.log("client connection closed", "for want of room")
             self._gone()
             self.channel.abort()
 
@@ -381,9 +382,19 @@
 
     def hang_up(self) -> None:
         """Write what is left and close."""
+        if self.front.log.detailed:
+            self.front.log("client connection closed", self._why_closed())
         self._gone()
         self.channel.finish()
 
+    def _why_closed(self) -> str:
+        if self._last:
+            return "its last request is answered"
+        if not self.front.posture.keeping:
+            return "the process ends"
+        idle = self.front.loop.now - self.idle_since
+        return f"idle for {idle:.1f} s" if self.idle else "its stream is broken off"
+
     def _gone(self) -> None:
         self._timer.cancel()
         self.slow_reader.stop()
--- a/yewhook/releases.py
+++ b/yewhook/releases.py
@@ -81,10 +81,11 @@
         self._timer.cancel()
         for address in list(self._give_up):
             self._close(address)
+        log = self._releases.loop.log
         if result is Result.ABANDONED:
-            self._releases.loop.log(
-                "release not confirmed", f"{self._request_id} after {self._state.asked} calls"
-            )
+            log("release not confirmed", f"{self._request_id} after {self._state.asked} calls")
+        elif log.detailed:
+            log("release confirmed", f"{self._request_id} after {self._state.asked} calls")
         self._releases.ended(self)
 
 
