Reproduce the incident's held states on real processes with silent servers

Stand-ins fell silent by cutting connections until now: the relay swallowed bytes or broke what was open. A link can now hang: it reads, writes and accepts nothing, and its connections stay open, while the kernel takes what is written.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 from test_platform import FLEET, Platform
 
 pytest_plugins = ["pytester", "known_red"]
+pytest.register_assert_rewrite("cases")
 
 
 @pytest.fixture
--- a/yewlab/processes/links.py
+++ b/yewlab/processes/links.py
@@ -15,6 +15,7 @@
 from .net import HOST, Listener, reset
 
 LONGEST = 2048  # bytes of a datagram
+WAKES_FOR = 0.02  # s in which a party that comes back finds out which of its connections have ended meanwhile
 
 
 @dataclass(slots=True)
@@ -24,6 +25,7 @@
     there: bool = True
     back: bool = True
     delay: float = 0.0  # s, both ways
+    silent: bool = False  # the far end reads and writes nothing; its connections stay open
 
 
 class TcpLink:
@@ -50,6 +52,22 @@
             self._listener.block()
         self.reset()
 
+    def fall_silent(self) -> None:
+        """The far end hangs: it reads, writes and accepts nothing, and what is open stays open."""
+        self.ways.silent = True
+        if self._listener is not None:
+            self._listener.ignore()
+        for pipe in self._pipes:
+            pipe.pause(True)
+
+    def wake(self) -> None:
+        """The far end goes on, with what has come meanwhile on connections that are still open."""
+        self.ways.silent = False
+        for pipe in self._pipes:
+            pipe.wake()
+        if self._listener is not None:
+            self._listener.heed()
+
     def reconnect(self) -> None:
         """The far end can be reached again."""
         if self._listener is not None:
@@ -62,7 +80,9 @@
 
     def _accepted(self, sock: socket.socket) -> None:
         self._pipes = [pipe for pipe in self._pipes if not pipe.over]
-        self._pipes.append(Pipe(self._loop, self.ways, sock, self._target()))
+        pipe = Pipe(self._loop, self.ways, sock, self._target())
+        self._pipes.append(pipe)
+        pipe.wake()  # it may have waited in the kernel's queue, and have ended there
 
     def reset(self) -> None:
         """Break all that is open now; what comes later is passed on."""
@@ -80,6 +100,7 @@
     def __init__(self, loop: Loop, ways: Ways, sock: socket.socket, target: Address) -> None:
         self._loop, self._ways, self._sock = loop, ways, sock
         self.over = False
+        self._kept: bytearray | None = None  # while it wakes: what has come for the far end
         self._near = Channel(loop, sock, End(lambda data: self._pass(data, True), self._ended))
         try:
             self._far = Channel.connect(loop, target, End(lambda data: self._pass(data, False), self._ended))
@@ -89,6 +110,9 @@
     def _pass(self, data: bytes, there: bool) -> None:
         if not (self._ways.there if there else self._ways.back):
             return
+        if there and self._kept is not None:
+            self._kept += data
+            return
         to = self._far if there else self._near
         if self._ways.delay:
             self._loop.after(self._ways.delay, lambda: to.send(data))
@@ -98,14 +122,30 @@
     def _ended(self, error: OSError | None) -> None:
         if self.over:
             return
-        self.over = True
-        if error is not None:
-            self.over = False
+        if error is not None or self._kept:  # one that wakes to a closed connection begins nothing for it
             return self.reset()
+        self.over = True
         for channel in (self._near, self._far):
             self._loop.after(self._ways.delay, channel.finish)
         return None
 
+    def pause(self, paused: bool) -> None:
+        """Read nothing from either end, or go on."""
+        self._near.pause(paused)
+        if hasattr(self, "_far"):
+            self._far.pause(paused)
+
+    def wake(self) -> None:
+        """Go on; what has come for the far end is passed on where its sender is still there."""
+        self._kept = bytearray()
+        self.pause(False)
+        self._loop.after(WAKES_FOR, self._awake)
+
+    def _awake(self) -> None:
+        kept, self._kept = self._kept, None
+        if kept and not self.over:
+            self._pass(bytes(kept), True)
+
     def reset(self) -> None:
         if not self.over:
             self.over = True
--- a/yewlab/processes/net.py
+++ b/yewlab/processes/net.py
@@ -84,6 +84,14 @@
         self._fillers.clear()
         self._loop.watch(self._sock, selectors.EVENT_READ, self._accept)
 
+    def ignore(self) -> None:
+        """Accept nothing; connections come up all the same, in the kernel's queue."""
+        self._loop.watch(self._sock, 0, self._accept)
+
+    def heed(self) -> None:
+        """Accept again what has come meanwhile."""
+        self._loop.watch(self._sock, selectors.EVENT_READ, self._accept)
+
     def close(self) -> None:
         for filler in self._fillers:
             filler.close()
--- a/yewlab/processes/stage.py
+++ b/yewlab/processes/stage.py
@@ -42,16 +42,18 @@
         fleet: tuple[Role, ...] = FLEET,
         halls: int = 1,
         contract: dict[str, float] | None = None,
+        extra: dict[str, float] | None = None,
     ) -> None:
         """`fleet` = the workers' roles; they stand in so many halls in turn.
 
-        `contract` = figures of the rules in place of the settings'.
+        `contract` and `extra` = figures of the rules in place of the settings'.
         """
         self.loop = Loop(Log("stage"))
         self.random = Random(f"stage {seed}")
         env = json.loads((ROOT / "deploy" / "settings.json").read_text())
         env["instances"], env["caps"]["may-tell"] = instances, True
         env["contract"] |= contract or {}
+        env["extra"] |= extra or {}
         env["customers"] = [one | {"quota-per-s": QUOTA} for one in env["customers"]]
         settings, names = translate(env)
         traffic = (replace(one, answer=ANSWER) for one in site.TRAFFIC)
