Let held states go in time though an attempt is out that nobody has answered

Ruled out: releases that found nobody (no 'release late'), a router that was held up (writes 1 ms after the read's end). At fault: Router._send cancelled the timer of the held state, Router._settle returned while an attempt was out, and HeldState.attempt_ended began the time anew at an end that proved nothing (TIMED_OUT, RESET, CANCELED); for a read, whose answer may be lost, no time ran at all before its end. An answer is now all that proves an arrival. The clock runs while an attempt is out; at its end the state is let go and the module told (StateReleased), since what an attempt that lives waits for stays. While a read is out this is done again and again, for its state may be there from any moment on. A release has at least 0.15 s to find a worker.

--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -101,6 +101,7 @@
             i.ServiceLevel: self._level,
             i.PeerSaid: self._told_of,
             i.WarmRates: self._took,
+            i.StateReleased: self._released,
         }
 
     def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
@@ -179,6 +180,11 @@
             self.leave_age[req.tenant] += GAIN * (now - req.arrived - self.leave_age[req.tenant])
             self._close(req)
 
+    def _released(self, ev: i.StateReleased, now: float) -> None:
+        """An attempt that is out may have it still; any later one has to begin with a read."""
+        if (req := self.requests.get(ev.id)) is not None:
+            req.state = None
+
     def _arrived(self, ev: i.RequestArrived, now: float) -> None:
         aim = self.s.classes[ev.cls].aim_of(ev.prompt_tokens)
         tenant = min(ev.tenant, len(self.leaving) - 1)
--- a/hopshed/interface.py
+++ b/hopshed/interface.py
@@ -223,6 +223,12 @@
     id: str
 
 
+class StateReleased(NamedTuple):
+    """The state that waited for a request has been let go, for its time was over."""
+
+    id: str
+
+
 class ProbeEnded(NamedTuple):
     server: int
     ok: bool
@@ -259,7 +265,7 @@
 
 Event = (
     ServersListed | RequestArrived | StreamStarted | AttemptEnded | ClientGone | ProbeEnded | TimerFired
-    | ServiceLevel | PeerSaid | WarmRates
+    | ServiceLevel | PeerSaid | WarmRates | StateReleased
 )  # fmt: skip
 
 
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -31,6 +31,7 @@
 # s after an attempt was given up until a release is sent: the worker has seen the close by then, and a read
 # that ended at the same moment has left its state.
 CLOSE_SEEN = 0.02
+MIN_RELEASE_TIME = 0.15  # s that a release has to find a worker that lives, within the slack of the rule
 
 
 class Router:
@@ -184,7 +185,8 @@
             return False
         if life.stage is not Stage.STREAMING:
             life.stage = Stage.STREAMING
-            life.held.cleared()
+            life.held.fetched()
+            self._watch_held(life)
             self._stop_timers(life, attempt)
             latency = self._clock() - attempt.sent
             self._facts.append(i.StreamStarted(request_id, number, attempt.server, latency))
@@ -307,11 +309,12 @@
         attempt = Attempt(number, act.server, reads, self._clock())
         life.attempts.append(attempt)
         life.stage = Stage.ATTEMPT_OUT
-        self._deadlines.cancel(life.let_go)
         attempt.timer = self._deadlines.set(self._clock() + timeout, lambda: self._timed_out(life, attempt))
         if self.log.detailed:
             self.log("attempt sent", f"{act.id} {attempt}: time-out {timeout:.3f} s")
         begins = send_rules.connect_within(life, self.settings, self._clock())
+        life.held.attempt_sent(reads, self._clock())
+        self._watch_held(life)
         self.workers.send(act.id, number, act.server, life.call, timeout, begins)
 
     def _refuse(self, act: i.Refuse) -> None:
@@ -406,26 +409,41 @@
             self._deadlines.cancel(attempt.timer)
 
     def _settle(self, life: Life) -> None:
-        """With no attempt out, see to what workers may hold, and forget a request that has ended."""
+        """See to what workers may hold, and forget a request that has ended with no attempt out."""
+        if life.stage is not Stage.ENDED:
+            return self._watch_held(life)
         if life.out is not None:
-            return
+            return None
         self._deadlines.cancel(life.let_go)
-        if life.stage is Stage.ENDED:
-            self._let_go_if_held(life)
-            self.lives.pop(life.id, None)
-            if not send_rules.refusal_is_harmless(life, self.settings):
-                self._spent.add(life.id, self._clock())
-        elif life.held.possible:
-            life.let_go = self._deadlines.set(life.held.release_at, lambda: self._let_go_if_held(life))
-
-    def _let_go_if_held(self, life: Life) -> None:
-        if life.held.possible and life.out is None:
+        if life.held.possible:
             self._let_go(life)
+        self.lives.pop(life.id, None)
+        if not send_rules.refusal_is_harmless(life, self.settings):
+            self._spent.add(life.id, self._clock())
+        return None
+
+    def _watch_held(self, life: Life) -> None:
+        """Come back when what may be held has to be let go, whether an attempt is out by then or not."""
+        at = life.held.release_at
+        if life.let_go is not None and life.let_go.at == at:
+            return
+        self._deadlines.cancel(life.let_go)
+        life.let_go = None
+        if life.held.possible:
+            life.let_go = self._deadlines.set(at, lambda: self._held_too_long(life))
+
+    def _held_too_long(self, life: Life) -> None:
+        life.let_go = None
+        if life.held.left:
+            self._facts.append(i.StateReleased(life.id))
+        self._let_go(life)
+        self._watch_held(life)
 
     def _let_go(self, life: Life) -> None:
         now = self._clock()
         due = life.held.due if life.held.possible else now + self.settings.release_within
-        life.held.cleared()
+        due = max(due, now + MIN_RELEASE_TIME)
+        life.held.let_go(now, life.out is not None)
         last = life.attempts[-1].ending if life.attempts else None
         begin_at = now + CLOSE_SEEN if last in GIVEN_UP else now
         if self.log.detailed:
