Keep what decisions ask of all servers by role, so that thousands stop no router

Seen: 3,200 servers took 3.1 to 5.8 s of the processor to take in (tests/test_large_list.py on: list 3.145 s, longest turn 0.208 s, mean 0.0141 s) and every decision several passes over all of them. At fault: each server that starts was weighed with a list of all its peers made for it (SlowStart.begin, Controller._peers), each cell's balance was counted over all servers (Topology._balance), each tick and each decision filtered all servers by role and state, and a hash order was kept as a dictionary of all of them. Ruled out: the list's JSON and the table of servers, which are linear. Rendezvous.order gives the servers in order; test_queues reads its first one accordingly.

--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -8,13 +8,15 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from itertools import islice
 from random import Random
 from statistics import median
 from typing import Any
 
 from . import interface as i
 from .estimate import Estimate
+from .fleet import Fleet
 from .gossip import NO_TEXT, Gossip, Reading, Slow, tag
 from .health import Health
 from .hold_queue import HoldQueue
@@ -65,12 +67,15 @@
         self._explain = explain
         self.steered = not {"utilization", "memory_share"}.isdisjoint(settings.report_fields)
         self.tells = bool({"queued", "backlog_tokens"} & set(settings.report_fields))  # readers' queues
-        self.workers: dict[int, Worker] = {}
+        self.fleet = Fleet()
+        self.workers = self.fleet.workers
+        self.reads_out, self.attempts_out = 0, 0  # attempts at readers that are out, and all that are
         self.sessions: dict[str, Session] = {}
         self.requests: dict[str, Request] = {}
         self.queue = HoldQueue()
         self.chance = self.random.random()
-        self.ranks, self.lean = Rendezvous(ORDERS_KEPT), 1.0  # weight of readers, on average
+        self.ranks = {role: Rendezvous(ORDERS_KEPT) for role in (i.Role.READER, i.Role.MIXED)}
+        self.lean = 1.0  # weight of readers, on average
         self.topology = Topology()
         self.room = Room(settings, self.topology)
         self.service = i.ServiceLevel()
@@ -138,6 +143,7 @@
 
     def _took(self, ev: i.WarmRates, now: float) -> None:
         self.slow_start.took.update(ev.rates)
+        self.slow_start.changed()
 
     def _listed(self, ev: i.ServersListed, now: float) -> None:
         if ev.kind is i.ListKind.FAILED:  # ask again, later each time; the old list stays good meanwhile
@@ -160,17 +166,23 @@
                 w.info, w.listed = info, now
                 started.append(w)
                 self.prefix_cache.lost(info.id)
-            w.info = info
+            w.info, w.settled = info, False
             w.gone_at = now if info.state is i.ServerState.GONE else math.inf
+        self.fleet.index()
+        self.slow_start.changed()
         for w in started:  # once all of its peers are known
             self.slow_start.begin(w, self._peers(w), self.random.random(), now)
-        for w in self.workers.values():
-            if ev.kind is not i.ListKind.CHANGES and w.info.id not in named:
+        if ev.kind is not i.ListKind.CHANGES:
+            for w in [w for n, w in self.workers.items() if n not in named]:
                 w.info, w.gone_at = w.info._replace(state=i.ServerState.GONE), min(now, w.gone_at)
+                w.settled = False
+            self.fleet.index()
+        self.slow_start.changed()
         self.gossip.listed(self.workers)
         self.topology.listed(self.workers.values())
-        self.ranks.servers({n: self.topology.weight(w) for n, w in self.workers.items()})
-        lean = [self.ranks.weights[n] for n, w in self.workers.items() if w.role is i.Role.READER]
+        for role, ranks in self.ranks.items():
+            ranks.servers({w.info.id: self.topology.weight(w) for w in self.fleet.by_role[role]})
+        lean = self.ranks[i.Role.READER].weights.values()
         self.lean = sum(lean) / max(1, len(lean))
 
     def _gone(self, ev: i.ClientGone, now: float) -> None:
@@ -232,6 +244,8 @@
             return
         w, a.live, a.outcome = a.server, False, ev.outcome
         w.unbook(a)
+        self.attempts_out -= 1
+        self.reads_out -= a.read
         self.room.streams[w.role] -= not a.read
         self._heard(w, ev.load, now)
         if ev.outcome in (i.Outcome.READ, i.Outcome.OK):
@@ -352,25 +366,28 @@
                     self.acts.append(i.CancelAttempt(req.ev.id, n))
 
     def _usable(self, w: Worker, now: float, req: Request | None = None) -> bool:
+        if w.settled:
+            return True
         if not self.health.usable(w, now):
             return False
-        if req is None or not self.slow_start.cold(w, now):
+        if not self.slow_start.cold(w, now):
+            w.settled = not w.trial
             return True
-        return self.slow_start.room(w, self._peers(w), now)
+        return req is None or self.slow_start.room(w, self._peers(w), now)
 
     def _peers(self, w: Worker) -> list[Worker]:
-        return [
-            p for p in self.workers.values() if p.role is w.role and p.info.state is i.ServerState.RUNNING
-        ]
+        return self.fleet.running[w.role]
 
     def pool(self, role: i.Role, now: float, req: Request | None = None) -> list[Worker]:
-        tried = [a.server for a in req.attempts] if req else []
-        pool = [w for w in self.workers.values() if w.role is role and w not in tried]
-        pool = [w for w in pool if self._usable(w, now, req)]
+        pool = self.fleet.running[role]
+        if req is not None and req.attempts:
+            tried = [a.server for a in req.attempts]
+            pool = [w for w in pool if w not in tried]
+        pool = [w for w in pool if w.settled or self._usable(w, now, req)]
         if cut_off := self.zones.cut_off(now):
             pool = [w for w in pool if w.info.zone not in cut_off] or pool
         if req is not None and self.s.classes[req.ev.cls].effect is i.Effect.UNSAFE:
-            return [w for w in pool if not self.health.in_doubt(w, now)] or pool
+            return self.health.undoubted(pool, now) or pool
         return pool
 
     def _weight(self, req: Request) -> float:
@@ -384,17 +401,19 @@
     def _pump(self, now: float) -> None:
         if not self.queue.count:
             return self.queue.tidy()
-        reading = sum(w.reads for w in self.workers.values())
-        free = {True: self._free(i.Role.MIXED, now), False: self._free(i.Role.WRITER, now) - reading}
+        free = {
+            True: self._free(i.Role.MIXED, now),
+            False: self._free(i.Role.WRITER, now) - self.reads_out,
+        }
         self.room.smoothed_until(now)
         # Reading slows mixed servers' answers, so it is held to a part of their time, all taken together.
-        both = [w for w in self.workers.values() if w.role is i.Role.MIXED]
+        both = self.fleet.by_role[i.Role.MIXED]
         reads = self.reading[i.Role.MIXED].faded(now, WORK_MEMORY) * self.s.instances
         if both and self.waits.told(both[0]):
             reads = sum(w.backlog.share(now) for w in both)
         busy = reads / max(1, self.topology.running[i.Role.MIXED])
         free[True] *= max(0.0, 1 - busy / READ_SHARE)
-        idle = not any(w.reads or w.streams for w in self.workers.values())
+        idle = not self.attempts_out
         # Part of a place is given by chance, else what is too little for each router stays unused.
         while self.queue.count and (idle or max(free.values()) >= self.chance):
             self.chance = self.random.random()
@@ -427,16 +446,26 @@
         return self.workers.get(session.reader) if session and session.reader is not None else None
 
     def _fresh_tokens(self, req: Request, w: Worker) -> float:
-        session = self.sessions.get(req.ev.session)
-        kept = 0.0
-        if session is not None and session.reader == w.info.id:
-            kept = min(session.prompt, req.ev.prompt_tokens)
-        elif self.prefix_cache.holds(w.info.id, req.ev.prefix):
-            kept = req.ev.prefix_tokens
-        return max(0.0, req.ev.prompt_tokens - kept * w.hit)
-
-    def _expected(self, req: Request, w: Worker, now: float) -> float:
-        """Time until w has read the prompt: its queue, from what we have, saw or were told, and the read."""
+        return self._fresh_at_each(req, (w,))[0]
+
+    def _fresh_at_each(self, req: Request, pool: Sequence[Worker]) -> list[float]:
+        """The prompt's tokens that each of them would have to read, for it does not keep them."""
+        session, prompt = self.sessions.get(req.ev.session), req.ev.prompt_tokens
+        last = session.reader if session is not None else None
+        text, kept_texts = self.prefix_cache.tag_of(req.ev.prefix), self.prefix_cache.uses
+        fresh = []
+        for w in pool:
+            number, kept = w.info.id, 0.0
+            if session is not None and number == last:
+                kept = min(session.prompt, prompt)
+            elif text is not None and (number, text) in kept_texts:
+                kept = req.ev.prefix_tokens
+            fresh.append(max(0.0, prompt - kept * w.hit))
+        return fresh
+
+    def _expected(self, w: Worker, fresh: float, now: float) -> float:
+        """Time until w has read so many tokens: its queue, from what we have, saw or were told, and the
+        read."""
         pace = self.paces.of[w.role]
         own = sum(a.tokens for a in w.pending) * pace
         age = w.oldest(now) - (w.pending[0].tokens * pace if w.pending else 0.0)
@@ -445,7 +474,7 @@
             pace *= w.backlog.stretch(now)
         elif w.load is not None and now - w.load_at < REPORT_TTL:
             wait = max(wait, self._reported(w) * pace * math.exp((w.load_at - now) / WAIT_DECAY))
-        return wait + self._fresh_tokens(req, w) * pace
+        return wait + fresh * pace
 
     def _reader(self, req: Request, mixed: bool, limit: float, now: float) -> tuple[Worker | None, float]:
         """The session's last reader, else the hashed home, else the next in hash order; one over LOAD_BOUND
@@ -456,24 +485,18 @@
             pool = self.room.with_room(pool, now) or pool
         if not pool:
             return None, math.inf
-        last = self._last(req)
-        order = self.ranks.order(req.ev.prefix or req.ev.session)
-        pool.sort(key=lambda w: order[w.info.id])
-        homes = self.popularity.homes(req.ev.prefix, len(pool), now)
-        pool[:homes] = sorted(pool[:homes], key=lambda w: rank(req.ev.session, w.info.id), reverse=True)
         told = self.waits.told(pool[0]) and self.waits.seldom(
             self.topology.running[i.Role.READER] + self.topology.running[i.Role.MIXED]
         )
-        near = homes + (TOLD_SPARE if told else SPARE_HOMES)
-        pool = pool[:near] + [w for w in pool[near:] if w is last]
-        pool.sort(key=lambda w: w is not last)
+        pool = self._near(req, pool, TOLD_SPARE if told else SPARE_HOMES, now)
         fetch = 0.0 if mixed else self.waits.of_role(i.Role.WRITER, now)
         margin = TOLD_MARGIN if told else AIM_MARGIN
         left = (min((limit - now) * margin, req.deadline - now) - fetch) * (1 - OVER_MARGIN * req.over)
-        expected = [self._expected(req, w, now) for w in pool]
+        fresh = self._fresh_at_each(req, pool)
+        expected = [self._expected(w, tokens, now) for w, tokens in zip(pool, fresh, strict=True)]
         # The margin is for the wait, a guess; a read that is held to it refuses the longest first.
         pace = self.paces.of[pool[0].role]
-        reads = [self._fresh_tokens(req, w) * pace * w.backlog.stretch(now) for w in pool]
+        reads = [tokens * pace * w.backlog.stretch(now) for w, tokens in zip(pool, fresh, strict=True)]
         fit = [n for n, wait in enumerate(expected) if wait - reads[n] * (1 - margin) <= left]
         if told:  # departure: the least cost among them, for what all know together is no guess
             cost = {n: expected[n] + OTHERS * reads[n] for n in fit}
@@ -488,6 +511,17 @@
         may = best in fit and expected[best] > 0 and left > 0
         return (pool[best], expected[best] / left) if may else (None, math.inf)
 
+    def _near(self, req: Request, pool: list[Worker], spare: int, now: float) -> list[Worker]:
+        """The session's last reader, then its beginning's homes and so many more, in hash order."""
+        last, usable = self._last(req), {w.info.id: w for w in pool}
+        order = self.ranks[pool[0].role].order(req.ev.prefix or req.ev.session)
+        homes = self.popularity.homes(req.ev.prefix, len(pool), now)
+        near = list(islice((usable[n] for n in order if n in usable), homes + spare))
+        near[:homes] = sorted(near[:homes], key=lambda w: rank(req.ev.session, w.info.id), reverse=True)
+        if last is not None and last.info.id in usable:
+            near = [last, *(w for w in near if w is not last)]
+        return near
+
     def _pair(self, req: Request, home: Worker | None, now: float) -> list[Worker]:
         """Two random writers for a state at home. Departure: from its cell, then zone, as links are slow and
         paid for; but only as large a part as the place has of all writers, the rest by chance where there are
@@ -496,15 +530,15 @@
         pool = self.room.with_room(pool, now) or pool
         if home is not None:
             cell, zone = self.topology.cell(home), self.topology.zone(home)
-            cell *= self.lean / self.ranks.weights.get(home.info.id, 1.0)
+            cell *= self.lean / self.ranks[i.Role.READER].weights.get(home.info.id, 1.0)
             draw = self.random.random()
             inside = [w for w in pool if w.info.zone == home.info.zone]
             if draw < cell:
                 near = [w for w in inside if w.info.cell == home.info.cell]
             elif draw < zone:
-                near = [w for w in inside if self.topology.cell(w) > 1]
+                near = [w for w in inside if w.info.cell in self.topology.writers_cells]
             else:
-                near = [w for w in pool if self.topology.zone(w) > 1]
+                near = [w for w in pool if w.info.zone in self.topology.writers_zones]
             pool = near or inside or pool
         return self.random.sample(pool, 2) if len(pool) > 1 else pool
 
@@ -536,7 +570,9 @@
     def _send(self, req: Request, w: Worker, now: float, read: bool) -> None:
         fetches = w.role is i.Role.WRITER or (w.role is i.Role.MIXED and req.state is not None)
         fresh = 0.0 if fetches else self._fresh_tokens(req, w)
-        expect = self._expected(req, w, now) if fresh or read else self.waits.at(w, now)
+        expect = self.waits.at(w, now)
+        if fresh or read:
+            expect = self._expected(w, self._fresh_tokens(req, w), now)
         least, times = READ_TIMEOUT if read else WRITE_TIMEOUT
         timeout = min(least + times * expect, max(0.05, req.deadline - now))
         if req.attempts and req.attempts[-1].outcome is not i.Outcome.READ:
@@ -550,9 +586,12 @@
                 self.acts += [i.Tell(word)] if word else []
         req.attempts.append(a)
         w.book(a)
+        self.attempts_out += 1
+        self.reads_out += read
         self.room.streams[w.role] += not read
         weight = self._weight(req)
         w.work.bump(weight / WORK_MEMORY, now, WORK_MEMORY)
+        self.slow_start.changed()
         w.cold_level -= weight
         self.reading[w.role].bump(fresh * self.paces.of[w.role] / WORK_MEMORY, now, WORK_MEMORY)
         if w.role is i.Role.MIXED:
@@ -655,15 +694,14 @@
 
     def _forget(self, now: float) -> None:
         """Guards against growth with ids that never come again."""
-        for n in [n for n, w in self.workers.items() if now - w.gone_at > i.FORGET_AFTER]:
-            del self.workers[n]
+        for n in self.fleet.forget_gone(now - i.FORGET_AFTER):
             self.gossip.forget(n)
         self.queue.tidy()
 
     def _look_for_silent(self, now: float) -> None:
         """Eject writers that are silent though they may answer probes, and probe what is due."""
-        for w in self.workers.values():
-            if w.role is i.Role.WRITER and self.health.late(w, now) and self.health.overdue(w, now):
+        for w in self.fleet.by_role[i.Role.WRITER]:
+            if w.pending and self.health.late(w, now) and self.health.overdue(w, now):
                 self._eject(w, now, silent=True)
         for w in self.probes.due(self.workers.values(), self.random, now):
             self._probe(w, now)
--- a/hopshed/gossip.py
+++ b/hopshed/gossip.py
@@ -60,6 +60,7 @@
         part = min(most, max(least, settings.instances / STEP_ROUTERS))
         self._step = part * min(cls.aim for cls in settings.classes)  # s
         self._tags: dict[str, tuple[int, ...]] = {}  # tag -> servers
+        self._named: dict[int, str] = {}  # server -> its tag
         self._heard: dict[int, float] = {}  # server -> when another router last saw it failing
         self._said: dict[int, float] = {}  # server -> when we last told of it
         self._waits: dict[int, float] = {}  # server -> when its wait was last told, by whomever
@@ -82,9 +83,12 @@
 
     def listed(self, servers: Iterable[int]) -> None:
         """The servers that words may be of."""
+        known = self._named
+        self._named = {server: known.get(server) or tag(str(server)) for server in servers}
+        if self._named.keys() == known.keys():
+            return
         self._tags = {}
-        for server in servers:
-            named = tag(str(server))
+        for server, named in self._named.items():
             self._tags[named] = (*self._tags.get(named, ()), server)
 
     def reading(self, server: int, work: float, prefix: str | None, chance: float) -> bytes | None:
@@ -114,6 +118,10 @@
             return Slow(server, rest[0] / TENTHS)
         raise ValueError(f"a message of {len(data)} bytes that begins with {data[:1]!r}")
 
+    def doubted_at(self, now: float) -> set[int]:
+        """The servers that another router has seen failing lately."""
+        return {server for server, at in self._heard.items() if now - at < DOUBTED_FOR}
+
     def doubted(self, server: int, now: float) -> bool:
         return now - self._heard.get(server, -math.inf) < DOUBTED_FOR
 
--- a/hopshed/handover.py
+++ b/hopshed/handover.py
@@ -94,6 +94,8 @@
             for field in fields(Learnt):
                 setattr(worker, field.name, getattr(learnt, field.name))
             worker.work = known.work.get(number, Estimate())
+            worker.settled = False
+    c.slow_start.changed()
     c.sessions, c.popularity.seen = dict(known.sessions), dict(known.seen)
     c.prefix_cache.uses = {(number, key): used for number, key, used in known.kept}
     c.waits.by_role, c.waits.came = c.waits.by_role | known.waits, now
@@ -115,6 +117,8 @@
         if worker is not None and not worker.work.value:
             for name in REMINDED:
                 setattr(worker, name, getattr(learnt, name))
+            worker.settled = False
+    c.slow_start.changed()
     c.sessions = dict(known.sessions) | c.sessions
     c.prefix_cache.uses = {(number, key): used for number, key, used in known.kept} | c.prefix_cache.uses
     c.popularity.seen = dict(known.seen) | c.popularity.seen
--- a/hopshed/health.py
+++ b/hopshed/health.py
@@ -70,6 +70,7 @@
             return False
         w.ejected = now + min(EJECT_MAX, EJECT_BASE * 2**w.ejections)
         w.ejections, w.trial, w.errors = w.ejections + 1, True, 0.0
+        w.settled = False
         return True
 
     def usable(self, w: Worker, now: float) -> bool:
@@ -88,6 +89,15 @@
         failing = (w.trial or w.errors > DOUBT_RATE) and now - w.failed_at < DOUBT_TIME
         return w.role is not Role.READER and (failing or self._gossip.doubted(w.info.id, now))
 
+    def undoubted(self, workers: Sequence[Worker], now: float) -> list[Worker]:
+        """Those that are not in doubt."""
+        doubted = self._gossip.doubted_at(now)
+        return [
+            w
+            for w in workers
+            if not ((w.errors or w.trial or w.info.id in doubted) and self.in_doubt(w, now))
+        ]
+
     def late(self, w: Worker, now: float) -> bool:
         """Whether something waits there for long, and it has given no sign of life meanwhile."""
         return w.oldest(now) > SILENT_AFTER and self._quiet(w, now)
--- a/hopshed/prefix_cache.py
+++ b/hopshed/prefix_cache.py
@@ -23,9 +23,13 @@
             if len(self.uses) > MAX_ENTRIES:
                 del self.uses[next(iter(self.uses))]
 
+    def tag_of(self, prefix: str | None) -> str | None:
+        """The tag by which `uses` has a shared beginning; None where there is none."""
+        return tag(prefix) if prefix is not None else None
+
     def holds(self, server: int, prefix: str | None) -> bool:
         """Whether a server is believed to keep a shared beginning."""
-        return prefix is not None and (server, tag(prefix)) in self.uses
+        return (server, self.tag_of(prefix)) in self.uses
 
     def lost(self, server: int) -> None:
         """Its process is a new one."""
--- a/hopshed/probes.py
+++ b/hopshed/probes.py
@@ -57,6 +57,8 @@
 
     def due(self, workers: Iterable[Worker], random: Random, now: float) -> list[Worker]:
         """The servers to probe now, those for signs of life first; that spends the budget for load."""
+        if not self._allowed:
+            return []
         silent: list[Worker] = []
         stale: list[Worker] = []
         for w in workers:
--- a/hopshed/rendezvous.py
+++ b/hopshed/rendezvous.py
@@ -23,18 +23,18 @@
     def __init__(self, keep: int) -> None:
         self.keep = keep
         self.weights: dict[int, float] = {}
-        self.known: dict[str, dict[int, int]] = {}
+        self.known: dict[str, tuple[int, ...]] = {}
 
     def servers(self, weights: dict[int, float]) -> None:
         if weights != self.weights:
             self.weights = weights
             self.known.clear()
 
-    def order(self, key: str) -> dict[int, int]:
-        """Each server's place in the key's order, highest rank first."""
+    def order(self, key: str) -> tuple[int, ...]:
+        """The servers in the key's order, highest rank first."""
         if key not in self.known:
             if len(self.known) >= self.keep:
                 self.known.clear()
             ranked = sorted(self.weights, key=lambda n: (rank(key, n, self.weights[n]), n), reverse=True)
-            self.known[key] = {server: place for place, server in enumerate(ranked)}
+            self.known[key] = tuple(ranked)
         return self.known[key]
--- a/hopshed/room.py
+++ b/hopshed/room.py
@@ -88,13 +88,19 @@
 
     def with_room(self, pool: Sequence[Worker], now: float) -> list[Worker]:
         """The servers with room for one more stream, or that have not been heard."""
-        rooms = ((w, self.at(w, now)) for w in pool)
-        return [w for w, room in rooms if room is None or room >= min(1.0, self._part(w))]
+        rooms = zip(pool, self._at_each(pool, now), strict=True)
+        return [w for w, room in rooms if room is None or room >= 1.0 or room >= min(1.0, self._part(w))]
+
+    def _at_each(self, pool: Sequence[Worker], now: float) -> list[float | None]:
+        """Free room at each: what `at` says, without the call where that is known at a glance."""
+        if self._reported:
+            return [None if w.load is None else self.at(w, now) for w in pool]
+        return [(self.limit(w) if w.limit is None else w.limit) - w.streams for w in pool]
 
     def together(self, pool: Sequence[Worker], now: float) -> float:
         """Room at servers together. Where none is heard yet the limit from told memory stands in, so that
         there is always a gate."""
-        rooms = [self.at(w, now) for w in pool]
+        rooms = self._at_each(pool, now)
         known = [r for r in rooms if r is not None] or [self.limit(w) - w.streams for w in pool]
         mean = sum(known) / len(known)
         return max(0.0, sum(mean if r is None else r for r in rooms))
--- a/hopshed/slow_start.py
+++ b/hopshed/slow_start.py
@@ -20,6 +20,13 @@
     def __init__(self, settings: Settings) -> None:
         self.s = settings
         self.took: dict[Role, float] = {}  # what a warm server took from us a second before a loss of all
+        self._rates: dict[Role, tuple[float, float]] = {}  # when it was measured, and the warm rate
+        self._untried: dict[Role, bool] = {}  # whether there are warm servers, and none was sent to
+
+    def changed(self) -> None:
+        """A send or a list has changed what the figures over all servers of a role are made of."""
+        self._rates.clear()
+        self._untried.clear()
 
     def cold(self, w: Worker, now: float) -> bool:
         return self._age(w, now) < self.s.cold_time
@@ -37,6 +44,12 @@
 
         It counts for so many even shares of all sends at most: where few are warm, they are sent everything.
         """
+        measured = self._rates.get(w.role)
+        if measured is None or measured[0] != now:
+            measured = self._rates[w.role] = now, self._measured_rate(w.role, peers, now)
+        return measured[1]
+
+    def _measured_rate(self, role: Role, peers: Sequence[Worker], now: float) -> float:
         rates = [(p.work.faded(now, WORK_MEMORY), self.cold(p, now)) for p in peers]
         warm = [rate for rate, cold in rates if not cold]
         if not warm:
@@ -44,7 +57,7 @@
         else:
             even = sum(rate for rate, _ in rates) / len(rates)
             taken = min(sum(warm) / len(warm), EVEN_TIMES * even)
-        return max(taken, self.took.get(w.role, 0.0))  # where all are cold, no peer tells
+        return max(taken, self.took.get(role, 0.0))  # where all are cold, no peer tells
 
     def begin(self, w: Worker, peers: Sequence[Worker], draw: float, now: float) -> None:
         """Set the bucket of a server that has just started; `draw` is uniform from 0 to 1.
@@ -54,7 +67,9 @@
         servers there, uses this one as far as it is warm: it draws no more than its part of what comes.
         """
         able = self.able(w, now)
-        if self._none_sent_to_warm(peers, now):
+        if w.role not in self._untried:
+            self._untried[w.role] = self._none_sent_to_warm(peers, now)
+        if self._untried[w.role]:
             w.cold_level = draw + able
             return
         budget = self.s.fall_multiple * able * self.warm_rate(w, peers, now) * self.s.fall_window
--- a/hopshed/state.py
+++ b/hopshed/state.py
@@ -106,6 +106,8 @@
         self.failed_at = -math.inf
         self.life, self.probing, self.probe_at, self.probe_fails = now, False, -math.inf, 0
         self.cold_level, self.cold_at = 0.0, now
+        # Found running, warm, not ejected and not on trial, and nothing has changed that since.
+        self.settled = False
         self.work = Estimate()  # rate of requests sent there
         self.backlog = Backlog()  # of all routers' reads there, where they tell one another
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -235,10 +235,9 @@
     for text in (f"text {n}" for n in range(60)):
         order = one.order(text)
         assert order == other.order(text)
-        first = min(order, key=order.__getitem__)
+        first = order[0]
         if first != gone:
-            left = less.order(text)
-            assert min(left, key=left.__getitem__) == first
+            assert less.order(text)[0] == first
 
 
 def play(told_of: bool, turns: int = 600) -> tuple[int, list[float]]:
