Let a state go before a read begins, never while one is under way

Ten further states were gone for a release that the module had ordered just before the same request's next read. A read now waits (0.25 s at most) until no release of its request is unconfirmed; what an earlier attempt may have left is let go first. While a read is out nothing is let go: it counts as out until it ends.

--- a/yewhook/core/life.py
+++ b/yewhook/core/life.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
@@ -47,6 +48,8 @@
     attempts: list[Attempt] = field(default_factory=list)
     timers: list[Deadline] = field(default_factory=list)
     let_go: Deadline | None = None
+    releases: int = 0  # that no worker has confirmed yet
+    waiting: Callable[[], None] | None = None  # sends the attempt that waits for them
     reason: str = ""  # why the module does not serve it, for the log
 
     @property
--- a/yewhook/core/ports.py
+++ b/yewhook/core/ports.py
@@ -47,8 +47,10 @@
     def withdraw(self, request_id: str, attempt: int) -> bool:
         """Abandon an attempt of which nothing is on its way yet; whether that was so."""
 
-    def release(self, request_id: str, begin_at: float, due: float) -> None:
-        """Let go of all that is held for the request, at any worker: told from one time on and by another."""
+    def release(self, request_id: str, begin_at: float, due: float, done: Callable[[], None]) -> None:
+        """Let go of all that is held for the request, at any worker: told from one time on and by another.
+
+        `done` is called once a worker has confirmed it, or nobody has for long."""
 
     def pause(self, request_id: str, attempt: int, paused: bool) -> None:
         """Stop or go on reading a stream whose client is slow."""
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -32,6 +32,7 @@
 # that ended at the same moment has left its state.
 CLOSE_SEEN = 0.02
 MIN_RELEASE_TIME = 0.15  # s that a release has to find a worker that lives, within the slack of the rule
+RELEASE_FIRST = 0.25  # s that a read waits at most until what earlier attempts may have left is let go
 
 
 class Router:
@@ -203,11 +204,12 @@
         if ending is Ending.SERVED and life.stage is not Stage.STREAMING:
             ending = Ending.GARBLED  # a stream without a single event is no answer
         attempt.live, attempt.ending = False, ending
+        life.waiting = None
         self._deadlines.cancel(attempt.timer)
         outcome = OUTCOMES[ending]
         if ending is Ending.STATE_GONE:
             note = NO_STATE_NOTE
-        life.held.attempt_ended(outcome, attempt.reads, self._clock())
+        life.held.attempt_ended(outcome, attempt.reads, attempt.sent, self._clock())
         if life.stage is Stage.STREAMING:
             self._finish(life, ending)
         elif life.stage is Stage.ATTEMPT_OUT:
@@ -306,16 +308,37 @@
             return
         left = life.deadline - self._clock()
         timeout = min(act.timeout, left) if act.timeout > 0 else left
+        if reads and life.held.possible:
+            self._let_go(life)
         attempt = Attempt(number, act.server, reads, self._clock())
         life.attempts.append(attempt)
         life.stage = Stage.ATTEMPT_OUT
-        attempt.timer = self._deadlines.set(self._clock() + timeout, lambda: self._timed_out(life, attempt))
+        expires = self._clock() + timeout
+        attempt.timer = self._deadlines.set(expires, lambda: self._timed_out(life, attempt))
+        if reads and life.releases:  # they would undo it
+            life.waiting = partial(self._begin_late, life, attempt, expires)
+            self._deadlines.set(self._clock() + RELEASE_FIRST, partial(self._wait_no_longer, life, attempt))
+        else:
+            self._begin(life, attempt, expires)
+
+    def _wait_no_longer(self, life: Life, attempt: Attempt) -> None:
+        if attempt.live and life.waiting is not None:
+            life.waiting()
+
+    def _begin_late(self, life: Life, attempt: Attempt, expires: float) -> None:
+        life.waiting = None
+        attempt.sent = self._clock()
+        if self.table.standing(attempt.server, attempt.sent).told_off_for > 0:
+            return self.ended(life.id, attempt.number, Ending.SERVER_LEFT)
+        return self._begin(life, attempt, expires)
+
+    def _begin(self, life: Life, attempt: Attempt, expires: float) -> None:
+        """Hand an attempt to the workers' side."""
+        now = self._clock()
         if self.log.detailed:
-            self.log("attempt sent", f"{act.id} {attempt}: time-out {timeout:.3f} s")
-        begins = send_rules.connect_within(life, self.settings, self._clock())
-        life.held.attempt_sent(reads, self._clock())
-        self._watch_held(life)
-        self.workers.send(act.id, number, act.server, life.call, timeout, begins)
+            self.log("attempt sent", f"{life.id} {attempt}: time-out {expires - now:.3f} s")
+        begins = send_rules.connect_within(life, self.settings, now)
+        self.workers.send(life.id, attempt.number, attempt.server, life.call, expires - now, begins)
 
     def _refuse(self, act: i.Refuse) -> None:
         if life := self.lives.get(act.id):
@@ -339,7 +362,7 @@
         if life := self.lives.get(act.id):
             return self._let_go(life)
         now = self._clock()
-        return self.workers.release(act.id, now, now + self.settings.release_within)
+        return self.workers.release(act.id, now, now + self.settings.release_within, lambda: None)
 
     def _cancel(self, act: i.CancelAttempt) -> None:
         life, attempt = self._out(act.id, act.attempt)
@@ -434,18 +457,23 @@
 
     def _held_too_long(self, life: Life) -> None:
         life.let_go = None
-        if life.held.left:
-            self._facts.append(i.StateReleased(life.id))
+        self._facts.append(i.StateReleased(life.id))
         self._let_go(life)
-        self._watch_held(life)
 
     def _let_go(self, life: Life) -> None:
         now = self._clock()
         due = life.held.due if life.held.possible else now + self.settings.release_within
         due = max(due, now + MIN_RELEASE_TIME)
-        life.held.let_go(now, life.out is not None)
+        life.held.let_go(life.out is not None)
+        self._watch_held(life)
         last = life.attempts[-1].ending if life.attempts else None
         begin_at = now + CLOSE_SEEN if last in GIVEN_UP else now
         if self.log.detailed:
             self.log("state let go", f"{life.id} {life.stage.name.lower()}, due in {due - now:.3f} s")
-        self.workers.release(life.id, begin_at, due)
+        life.releases += 1
+        self.workers.release(life.id, begin_at, due, partial(self._released, life))
+
+    def _released(self, life: Life) -> None:
+        life.releases -= 1
+        if not life.releases and life.waiting is not None:
+            life.waiting()
--- a/yewhook/front.py
+++ b/yewhook/front.py
@@ -119,7 +119,7 @@
 
 
 O = TypeVar("O", bound=Out)  # noqa: E741
-Release = Callable[[str, float, float], None]  # of a request, from a time on and by another
+Release = Callable[[str, float, float, Callable[[], None]], None]  # of a request, from a time on, by another
 
 
 class AttemptsOut(Generic[O]):
@@ -160,8 +160,8 @@
         self.abort(request_id, attempt)
         return True
 
-    def release(self, request_id: str, begin_at: float, due: float) -> None:
-        self._release(request_id, begin_at, due)
+    def release(self, request_id: str, begin_at: float, due: float, done: Callable[[], None]) -> None:
+        self._release(request_id, begin_at, due, done)
 
     def forget(self, server: int) -> None:
         self._registry.forget(server)
--- a/yewhook/releases.py
+++ b/yewhook/releases.py
@@ -19,8 +19,10 @@
 class _Release:
     """The calls of one release that are open, and its timer."""
 
-    def __init__(self, releases: Releases, request_id: str, begin_at: float, due: float) -> None:
-        self._releases, self._request_id = releases, request_id
+    def __init__(
+        self, releases: Releases, request_id: str, begin_at: float, due: float, done: Callable[[], None]
+    ) -> None:
+        self._releases, self._request_id, self._done = releases, request_id, done
         self._state = ReleaseCall(begin_at, due)
         self._give_up: dict[Address, Callable[[], None]] = {}
         self._timer = Timer(releases.loop)
@@ -87,6 +89,7 @@
         elif log.detailed:
             log("release confirmed", f"{self._request_id} after {self._state.asked} calls")
         self._releases.ended(self)
+        self._done()
 
 
 class Releases:
@@ -106,9 +109,11 @@
         """Whether a release may still be confirmed in time."""
         return any(not release.late for release in self._open)
 
-    def release(self, request_id: str, begin_at: float, due: float) -> None:
-        """Let go of all that is held for a request, from `begin_at` on and by `due` (the loop's clock)."""
-        release = _Release(self, request_id, begin_at, due)
+    def release(self, request_id: str, begin_at: float, due: float, done: Callable[[], None]) -> None:
+        """Let go of all that is held for a request, from `begin_at` on and by `due` (the loop's clock).
+
+        `done` is called at the end, confirmed or not."""
+        release = _Release(self, request_id, begin_at, due, done)
         self._open.add(release)
         if begin_at > self.loop.now:  # whom to ask is looked up when it begins
             release.wake(begin_at)
--- a/yewlab/fleet.py
+++ b/yewlab/fleet.py
@@ -281,11 +281,12 @@
         """Connections here are up at once, so all that is sent is on its way."""
         return False
 
-    def release(self, request_id: str, begin_at: float, due: float) -> None:
+    def release(self, request_id: str, begin_at: float, due: float, done: Callable[[], None]) -> None:
         def arrive() -> None:
             box = self.fleet.states.get(request_id)
             if box is not None and not box.silent:
                 del self.fleet.states[request_id]
+            done()
 
         self.fleet.sim.after(WIRE, arrive)
 
