Judge requests and streams of a router that was held up by when they came

At fault: ClientConnection. on_message_begin and the tool calls' understand. Its time now runs from the last look before it was read (Loop.looked_at), or from when the listener's queue was last seen empty. A client that closes while a long turn goes on was sent for all the same: each send now looks at its connection first. A silent stream was cut after 2.5 s also where clients do not ask for the rest, and was lost though its server went on after 3 s: there it is waited for 4.5 s, within the 5 s that no client may wait. Ruled out: timers that fall due before what has come is read (the loop reads first, in the same turn).

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -75,6 +75,7 @@
 class Client:
     def __init__(self) -> None:
         self.heard: list[str] = []
+        self.left = False
 
     def pass_on(self, event: object) -> None:
         self.heard.append(f"event {event}")
--- a/yewhook/channel.py
+++ b/yewhook/channel.py
@@ -80,6 +80,18 @@
             return True
         return True
 
+    @property
+    def ended(self) -> bool:
+        """Whether it can be seen now that the peer has closed or broken it, with nothing left to read."""
+        if self.closed:
+            return True
+        try:
+            return not self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def send(self, data: bytes) -> None:
         if self.closed or self._finishing:
             return
--- a/yewhook/core/ports.py
+++ b/yewhook/core/ports.py
@@ -13,6 +13,10 @@
 class Client(Protocol):
     """The client's end of one request. Exactly one of finish, break_off, refuse and fail is called, once."""
 
+    @property
+    def left(self) -> bool:
+        """Whether it can be seen now that it has closed its connection."""
+
     def pass_on(self, event: object) -> None:
         """Pass on one event of the running stream; the first one opens the answer."""
 
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -333,12 +333,15 @@
         return self._begin(life, attempt, expires)
 
     def _begin(self, life: Life, attempt: Attempt, expires: float) -> None:
-        """Hand an attempt to the workers' side."""
+        """Hand an attempt to the workers' side, unless its client has left while this turn went on."""
+        if life.client.left:
+            return self.client_left(life.id)
         now = self._clock()
         if self.log.detailed:
             self.log("attempt sent", f"{life.id} {attempt}: time-out {expires - now:.3f} s")
         begins = send_rules.connect_within(life, self.settings, now)
         self.workers.send(life.id, attempt.number, attempt.server, life.call, expires - now, begins)
+        return None
 
     def _refuse(self, act: i.Refuse) -> None:
         if life := self.lives.get(act.id):
--- a/yewhook/front.py
+++ b/yewhook/front.py
@@ -64,6 +64,8 @@
         self.connections: set[K] = set()
         self.posture = Posture(healthy=True, accepting=True, keeping=True, closing=False)
         self.ending = False  # nothing that comes now could be finished any more: it is refused
+        # Since when a connection that is accepted now may have waited to be.
+        self.waiting_since: Callable[[], float] = lambda: loop.looked_at
         self._sweeping = Timer(loop)
         self._sweep()
 
@@ -224,6 +226,7 @@
         listener = listener or listen(address)
         self.port: int = listener.getsockname()[1]
         self._acceptor = Acceptor(self.loop, listener, room.for_clients, clients.make_room, clients.accepted)
+        clients.waiting_since = lambda: self._acceptor.waiting_since
         self.loop.log("serving", f"{whose} clients on {address[0]}:{self.port}")
 
     @property
--- a/yewhook/loop.py
+++ b/yewhook/loop.py
@@ -27,13 +27,15 @@
 
 
 class Loop:
+    """`now` is the time of all that happens in a turn; what is heard in it has come after `looked_at`."""
+
     def __init__(self, log: Log, clock: Callable[[], float] = time.monotonic) -> None:
         self.log, self._clock = log, clock
         self.deadlines = Deadlines()
         self.gatherers: list[Callable[[], None]] = []  # what is looked at in each turn and wakes nobody
         self.deciders: list[Turn] = []
         self.stopped = False
-        self.now = clock()
+        self.now = self.looked_at = clock()  # of this turn's look at the files, and of the one before it
         self.sockets = 0  # open ones that this process holds, as their owners count them
         self.accepted = 0  # those of them that others have opened
         self.finishing = 0  # those of them whose last bytes are still on their way
@@ -69,7 +71,7 @@
         if (due := self.deadlines.next()) is not None:
             waits.append(max(0.0, due - self._clock()))
         ready = self._selector.select(min(waits, default=None))
-        self.now = self._clock()
+        self.looked_at, self.now = self.now, self._clock()
         if self._first:
             ready.sort(key=lambda heard: heard[0].fd not in self._first)
         for key, mask in ready:
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -21,6 +21,7 @@
 from ..loop import Loop, Timer
 from ..operations.instance import Posture
 from ..slow_reader import SlowReader
+from ..unread import UnreadSince
 from . import http
 
 CHAT = b"/v1/chat/completions"
@@ -126,6 +127,7 @@
         self.idle_since = self._heard_at = front.loop.now
         self._asked = False  # whether an answer has been given on it
         self.channel = Channel(front.loop, sock, self)
+        self._unread_since = UnreadSince(front.loop, front.waiting_since())
         self.slow_reader = SlowReader(
             front.loop, lambda: self.channel.unsent, self._stalled, CAUGHT_UP, self._caught_up
         )
@@ -140,6 +142,10 @@
     def unread(self) -> bool:
         return self.channel.unread
 
+    @property
+    def left(self) -> bool:
+        return self.channel.ended
+
     @property
     def standing(self) -> Standing:
         if self.serving is not None or self.waiting:
@@ -190,7 +196,7 @@
         return self._next()
 
     def on_message_begin(self) -> None:
-        self.call = Call(began=self.front.loop.now)
+        self.call = Call(began=self._unread_since.earliest)
         self._head_size, self._in_head = 0, True
         if not self._timer.running:
             self._expect()
@@ -300,11 +306,13 @@
         self._answer(error.status, str(error))
         if not self.channel.closed and not self._last:
             self.channel.pause(True)
+            self._unread_since.stop()
             self._timer.set(PENALTY, self._read_on)
 
     def _read_on(self) -> None:
         if self.call is not None:
             self._expect()
+        self._unread_since.go_on()
         self.channel.pause(False)
 
     # ---- answering ----
--- a/yewhook/platform/front.py
+++ b/yewhook/platform/front.py
@@ -44,7 +44,9 @@
         """`succeeds` = another process of this instance serves still; `handed` = what that knows; `keeper` =
         keeps what a process after this one goes on from."""
         self._config, self._read_again, self._keeper = config, read_again, keeper
-        self.pool = pool = WorkerPool(loop, room.for_workers, config.connect_timeout, config.idle_limit)
+        self.pool = pool = WorkerPool(
+            loop, room.for_workers, config.connect_timeout, config.idle_limit, config.settings.may_resume
+        )
         super().__init__(
             loop,
             config.settings,
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -21,6 +21,8 @@
 from .clients import Call
 
 STILL = 2.5  # s in which a running stream says nothing, until its client is better off elsewhere
+STILL_ALONE = 4.5  # the same where clients cannot go on elsewhere; none may be kept waiting for 5 s
+STILL_MOMENT = 0.02  # s more where something waits to be read just then
 ANSWER_LIMIT = 64 * 1024  # bytes of an answer that is not a stream
 REST = 0.03  # s that a kept connection stands before its next exchange
 UNFINISHED = 1.0  # s in which a head, a chunk or an event that has begun must go on to its end
@@ -155,9 +157,11 @@
         """A running stream has no deadline, and a machine that has fallen silent never ends one."""
         if self.channel.paused:  # by us, since the client is slow
             self._heard = self.pool.loop.now
-        left = self._heard + STILL - self.pool.loop.now
+        left = self._heard + self.pool.still - self.pool.loop.now
         if left > 0:
             self._still.set(left, self._watch_stream)
+        elif self.channel.unread:  # it has come in this very turn
+            self._still.set(STILL_MOMENT, self._watch_stream)
         else:
             self.pool.log("stream stands still", f"{self.address[0]}:{self.address[1]}")
             self._broken(Ending.WORKER_STALLED)
@@ -236,10 +240,17 @@
     """The connections to workers, those in use and those kept for the next exchange."""
 
     def __init__(
-        self, loop: Loop, room: Callable[[], bool], connect_timeout: float, idle_limit: float
+        self,
+        loop: Loop,
+        room: Callable[[], bool],
+        connect_timeout: float,
+        idle_limit: float,
+        streams_move: bool = True,
     ) -> None:
+        """`streams_move` = clients ask for the rest of a stream that is broken off, and get it elsewhere."""
         super().__init__(loop, room, idle_limit, lambda address: WorkerConnection(self, address), REST)
         self.log, self.connect_timeout = loop.log, connect_timeout
+        self.still = STILL if streams_move else STILL_ALONE  # s that a running stream may say nothing
 
     def ask(self, address: Address, exchange: Exchange, compose: Callable[[], bytes]) -> WorkerConnection:
         """Ask on a kept or a new connection. Raises OSError where none can be opened."""
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -89,8 +89,19 @@
         self._room, self._make_room, self._accepted = room, make_room, accepted
         self._again = Timer(loop)
         self._paused = self._closed = False
+        # Since when connections may wait in the kernel's queue, and whether some were left there.
+        self._empty_at, self._left = loop.now, False
         loop.watch(listener, selectors.EVENT_READ, self._accept)
 
+    @property
+    def waiting_since(self) -> float:
+        """Since when a connection that is accepted now may have waited, with its request, in the kernel's
+        queue (the loop's clock)."""
+        return self._empty_at if self._left else max(self._empty_at, self._loop.looked_at)
+
+    def _leave(self) -> None:
+        self._empty_at, self._left = self.waiting_since, True
+
     def _accept(self, mask: int) -> None:
         self._accept_some()
 
@@ -105,15 +116,18 @@
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
+                self._empty_at, self._left = self._loop.now, False
                 return False
             except OSError as error:
                 self._loop.log("accept failed", str(error))
                 return self._later()
             self._accepted(sock)
+        self._leave()
         return True
 
     def _later(self) -> bool:
         """Leave what waits in the kernel's queue for a while; tried at once, it would keep the loop busy."""
+        self._leave()
         self._loop.watch(self._listener, 0, self._accept)
         self._again.set(ACCEPT_AGAIN, self._go_on)
         return False
@@ -125,6 +139,7 @@
         """Leave all that comes in the kernel's queue, or take it again."""
         if paused != self._paused and not self._closed:
             self._paused = paused
+            self._leave()
             self._again.cancel()
             self._loop.watch(self._listener, 0 if paused else selectors.EVENT_READ, self._accept)
 
--- a/yewhook/toolcalls/clients.py
+++ b/yewhook/toolcalls/clients.py
@@ -15,6 +15,7 @@
 from ..jsonrpc import Code, Id, Peer, RpcError
 from ..loop import Loop
 from ..slow_reader import SlowReader
+from ..unread import UnreadSince
 from .endings import TO_CLIENT
 from .workers import Shown
 
@@ -42,14 +43,14 @@
     return names.index(value)
 
 
-def understand(params: dict[str, Any], names: Names, request_id: str) -> RequestArrived:
-    """The module's view of a request."""
+def understand(params: dict[str, Any], names: Names, request_id: str, waited: float) -> RequestArrived:
+    """The module's view of a request that has waited so many s, at the longest, to be read."""
     return RequestArrived(
         id=request_id,
         cls=_place(names.classes, params, "class"),
         tenant=_place(names.tenants, params, "tenant") if names.tenants else 0,
         session=_text(params, "session", request_id),
-        patience=_number(params, "patienceMs", 1.0) / 1000.0,
+        patience=max(0.0, _number(params, "patienceMs", 1.0) / 1000.0 - waited),
         prompt_tokens=_number(params, "promptTokens"),
         prefix=_text(params, "prefix") if params.get("prefix") else None,
         prefix_tokens=_number(params, "prefixTokens"),
@@ -65,6 +66,10 @@
     def __init__(self, connection: ClientConnection, asked: Id, request_id: str) -> None:
         self.connection, self.asked, self.id = connection, asked, request_id
 
+    @property
+    def left(self) -> bool:
+        return self.connection.peer.channel.ended
+
     def pass_on(self, event: object) -> None:
         assert isinstance(event, Shown)
         self.connection.peer.notify(event.method, {"requestId": self.asked} | event.params)
@@ -95,6 +100,7 @@
     def __init__(self, front: ClientFront, sock: socket.socket) -> None:
         self.front = front
         self.exchanges: dict[Id, Exchange] = {}
+        self._unread_since = UnreadSince(front.loop, front.waiting_since())
         self.peer = Peer.accepted(front.loop, sock, self)
         self.slow_reader = SlowReader(front.loop, lambda: self.peer.channel.unsent, self._stalled)
 
@@ -120,7 +126,8 @@
             raise RpcError(Code.METHOD_NOT_FOUND, f"unknown method {method!r}")
         if self.front.ending:
             raise RpcError(Code.REFUSED, "ending; trying again is harmless")
-        arrived = understand(params, self.front.names, secrets.token_hex(8))
+        waited = self.front.loop.now - self._unread_since.earliest
+        arrived = understand(params, self.front.names, secrets.token_hex(8), waited)
         exchange = self.exchanges[request_id] = Exchange(self, request_id, arrived.id)
         self.front.router.accept(arrived, exchange, params)
         return None
--- a/yewlab/workload.py
+++ b/yewlab/workload.py
@@ -249,6 +249,11 @@
         )  # fmt: skip
         return None
 
+    @property
+    def left(self) -> bool:
+        """What clients do here is heard in the moment in which they do it."""
+        return False
+
     def pass_on(self, event: object) -> None:
         self.clients.rules.began(self.id, self.clients.sim.now)
         self.first = self.clients.sim.now
