Give up a repeat by key when its window ends

A relative of the incident's cause: a repeat that was written in its window to a server that hangs counts when that server takes it, which may be after the window, and then it runs anew. At fault: Router._send bounded when a repeat's connection has to be up (connect_within), not how long an attempt that is written may stay out.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -497,3 +498,19 @@
     for call in deadlines.due(2.0):
         call()
     assert heard == ["a", "b"] and deadlines.next() is None
+
+
+def test_a_repeat_by_key_is_given_up_when_its_window_ends(c: Core) -> None:
+    # Written to a server that hangs, it may be taken up later; after the window it would run anew.
+    keyed = replace(c.router.settings.classes[0], effect=i.Effect.KEYED, dedup_window=2.0)
+    c.router.settings = replace(c.router.settings, classes=(keyed, *c.router.settings.classes[1:]))
+    c.take()
+    c.do(i.Send("a", WRITER, 1.0))
+    c.router.ended("a", 0, Ending.BROKEN)
+    c.do()
+    c.wait(0.5)
+    c.do(i.Send("a", 3, 4.0))
+    c.wait(1.4)
+    assert not c.workers.aborted
+    c.wait(0.11)
+    assert c.workers.aborted == [("a", 1)] and c.outcomes() == [Out.RESET, Out.TIMED_OUT]
