--- /dev/null
+++ b/tests/processes/test_soak.py
@@ -0,0 +1,14 @@
+"""Faults by chance on real processes: two short seeds here, more by `yewhook lab soak`."""
+
+from __future__ import annotations
+
+import pytest
+
+from yewlab.processes.soak import play
+
+
+# Seed 1 makes system calls fail and restarts all instances; seed 4 hangs most writers and holds routers up.
+@pytest.mark.parametrize("seed", [1, 4])
+def test_a_seed_of_faults_breaks_no_rule_and_leaves_no_request_unanswered(seed: int) -> None:
+    result = play(seed)
+    assert result.holds, result
--- a/yewhook/channel.py
+++ b/yewhook/channel.py
@@ -5,6 +5,7 @@
 import errno
 import selectors
 import socket
+from collections.abc import Callable
 from typing import Protocol
 
 from .loop import Loop, Timer
@@ -14,9 +15,22 @@
 # Reads a turn of an accepted connection: as many as the largest request takes, and one that finds its end.
 # Whoever has asked and gone is known to be gone before anything is done for the request.
 READ_ACCEPTED = 8
+# Errors of sending in a row after which a connection counts as lost: the kernel tells the cause of an end once
+# and after that the end itself; an error that is no end leaves the connection good.
+SEND_ERRORS = 3
 FLUSH, LINGER = 10.0, 1.0  # s to write what is left, and then for the peer to close too
 
 
+def _retried(call: Callable[[], bytes]) -> bytes:
+    """Call once more where it fails, as the kernel tells the cause of an end once. Raises OSError."""
+    try:
+        return call()
+    except BlockingIOError:
+        raise
+    except OSError:
+        return call()
+
+
 class Owner(Protocol):
     def connected(self) -> None: ...
 
@@ -41,6 +55,7 @@
         self._cut_short = False  # closed before all was written
         self.paused = self._finishing = self._unwritable = False
         self._accepted = not connecting
+        self._send_errors = 0  # in a row
         self._timer = Timer(loop)  # for the end of a connection that is being finished
         loop.sockets += 1
         loop.accepted += self._accepted
@@ -86,7 +101,7 @@
         if self.closed:
             return True
         try:
-            return not self._sock.recv(1, socket.MSG_PEEK)
+            return not _retried(lambda: self._sock.recv(1, socket.MSG_PEEK))
         except BlockingIOError:
             return False
         except OSError:
@@ -166,8 +181,23 @@
         except BlockingIOError:
             return False
         except OSError as error:
-            self._lost(error)
+            return self._receive_after(error)
+        return self._received(data)
+
+    def _receive_after(self, error: OSError) -> bool:
+        """Read once more after an error: where it was the connection's end, that is found now."""
+        try:
+            data = self._sock.recv(READ_SIZE)
+        except BlockingIOError:
             return False
+        except OSError:
+            data = b""
+        if data:
+            return self._received(data)
+        self._lost(error)
+        return False
+
+    def _received(self, data: bytes) -> bool:
         if not data:
             self._lost(None)
             return False
@@ -182,10 +212,9 @@
             sent = self._sock.send(self._out)
         except BlockingIOError:
             sent = 0
-        except OSError:
-            # What the peer sent before the break still counts: reading it finds the end, too.
-            self._unwritable, self.paused = True, False
-            return self._watch()
+        except OSError as error:
+            return self._not_sent(error)
+        self._send_errors = 0
         del self._out[:sent]
         self._watch()
         if self._out:
@@ -194,6 +223,18 @@
             return self._end_sending()
         return self.owner.drained()
 
+    def _not_sent(self, error: OSError) -> None:
+        """Try again, and after several errors in a row send no more.
+
+        What the peer sent before the break still counts: reading it finds the end, too. Where there is none the
+        connection is lost all the same."""
+        self._send_errors += 1
+        if self._send_errors >= SEND_ERRORS:
+            self._unwritable, self.paused = True, False
+            if not self._finishing:
+                self._timer.set(LINGER, lambda: self._lost(error))
+        self._watch()
+
     def _end_sending(self) -> None:
         self._timer.set(LINGER, self.abort)
         try:
--- a/yewhook/commands/lab.py
+++ b/yewhook/commands/lab.py
@@ -131,6 +131,28 @@
     raise typer.Exit(0 if result.holds else 1)
 
 
+@lab.command()
+def soak(
+    first: Annotated[int, typer.Option(help="The first seed.")] = 1,
+    seeds: Annotated[int, typer.Option(min=1, help="How many seeds, one after another.")] = 1,
+    faults: Annotated[int, typer.Option(min=1, help="Faults in each seed's script.")] = 5,
+) -> None:
+    """Play faults by chance on real router processes; exit 1 if a rule is broken or a request unanswered."""
+    from yewlab.processes.soak import play
+
+    holds = True
+    for seed in range(first, first + seeds):
+        result = play(seed, faults)
+        holds = holds and result.holds
+        typer.echo(
+            f"seed {seed}: {result.requests} requests, {result.served} served, "
+            f"{result.unanswered} unanswered, {len(result.broken)} rules broken: {', '.join(result.story)}"
+        )
+        for what in result.broken[:10]:
+            typer.echo(f"    {what}")
+    raise typer.Exit(0 if holds else 1)
+
+
 @lab.command()
 def power(
     seed: Seed = 1,
--- a/yewlab/processes/host.py
+++ b/yewlab/processes/host.py
@@ -60,6 +60,7 @@
     number: int
     folder: Path
     config: dict[str, Any]
+    environment: dict[str, str] = field(default_factory=dict)  # of its processes, beside this one's
     processes: list[Process] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -80,7 +81,7 @@
         path = self.folder / f"config-{number}.json"
         path.write_text(json.dumps(self.config | {"mgmt": f"{HOST}:{door[1]}", "seed": f"{number + 1:x}"}))
         log = self.folder / f"log-{number}"
-        env = os.environ | {
+        env = os.environ | self.environment | {
             "PROXY_CONFIG": str(path), "TMPDIR": str(self.folder / "tmp"),
             "PROXY_ACCEPT_FD": str(self._listener.fileno()),
         }  # fmt: skip
--- a/yewlab/processes/links.py
+++ b/yewlab/processes/links.py
@@ -58,7 +58,7 @@
         if self._listener is not None:
             self._listener.ignore()
         for pipe in self._pipes:
-            pipe.pause(True)
+            pipe.fall_silent()
 
     def wake(self) -> None:
         """The far end goes on, with what has come meanwhile on connections that are still open."""
@@ -100,7 +100,8 @@
     def __init__(self, loop: Loop, ways: Ways, sock: socket.socket, target: Address) -> None:
         self._loop, self._ways, self._sock = loop, ways, sock
         self.over = False
-        self._kept: bytearray | None = None  # while it wakes: what has come for the far end
+        # While the far end hangs, and when it wakes: what has come for it.
+        self._kept: bytearray | None = None
         self._near = Channel(loop, sock, End(lambda data: self._pass(data, True), self._ended))
         try:
             self._far = Channel.connect(loop, target, End(lambda data: self._pass(data, False), self._ended))
@@ -122,26 +123,31 @@
     def _ended(self, error: OSError | None) -> None:
         if self.over:
             return
-        if error is not None or self._kept:  # one that wakes to a closed connection begins nothing for it
+        # An attempt that is given up is out no longer, though its server hangs, and a server that wakes to a
+        # closed connection begins nothing for it.
+        if error is not None or self._kept is not None:
             return self.reset()
         self.over = True
         for channel in (self._near, self._far):
             self._loop.after(self._ways.delay, channel.finish)
         return None
 
-    def pause(self, paused: bool) -> None:
-        """Read nothing from either end, or go on."""
-        self._near.pause(paused)
+    def fall_silent(self) -> None:
+        """Pass nothing on, either way."""
+        self._kept = self._kept or bytearray()
         if hasattr(self, "_far"):
-            self._far.pause(paused)
+            self._far.pause(True)
 
     def wake(self) -> None:
         """Go on; what has come for the far end is passed on where its sender is still there."""
-        self._kept = bytearray()
-        self.pause(False)
+        self._kept = self._kept or bytearray()
+        if hasattr(self, "_far"):
+            self._far.pause(False)
         self._loop.after(WAKES_FOR, self._awake)
 
     def _awake(self) -> None:
+        if self._ways.silent:  # again
+            return
         kept, self._kept = self._kept, None
         if kept and not self.over:
             self._pass(bytes(kept), True)
--- a/yewlab/processes/stage.py
+++ b/yewlab/processes/stage.py
@@ -43,12 +43,14 @@
         halls: int = 1,
         contract: dict[str, float] | None = None,
         extra: dict[str, float] | None = None,
+        environment: dict[str, str] | None = None,
     ) -> None:
         """`fleet` = the workers' roles; they stand in so many halls in turn.
 
-        `contract` and `extra` = figures of the rules in place of the settings'.
+        `contract` and `extra` = figures of the rules in place of the settings'. `environment` = of the
+        processes, beside this one's.
         """
-        self.loop = Loop(Log("stage"))
+        self.loop, self._environment = Loop(Log("stage")), environment or {}
         self.random = Random(f"stage {seed}")
         env = json.loads((ROOT / "deploy" / "settings.json").read_text())
         env["instances"], env["caps"]["may-tell"] = instances, True
@@ -99,7 +101,7 @@
             "known": self.faces[number].whole(),
             "settings": env,
         }
-        return Instance(self.loop, number, folder / f"n{number}", config)
+        return Instance(self.loop, number, folder / f"n{number}", config, self._environment)
 
     def _told(self, instance: int, server: int, runs: bool, started: float | None) -> None:
         self.rules.told(instance, server, runs, self.loop.now)
