--- a/tests/processes/cases.py
+++ b/tests/processes/cases.py
@@ -10,7 +10,6 @@
 from yewlab.processes.stage import FLEET, Stage
 
 MOST = 120.0  # s for one case, on a machine that is busy
-TOLD = 6.0  # s after which a change counts as told, whatever became of the watch
 
 
 class Case:
@@ -55,16 +54,3 @@
         for instance in self.stage.instances:
             for process in instance.processes:
                 assert not process.said("turn failed") and not process.said("handler failed")
-
-    def change(self, name: str, **entry: object) -> None:
-        """Let the register know, and the rules: who has not heard of it by then counts as told."""
-        register = self.stage.register
-        register.put(name, **entry)
-        worker, runs = self.stage.workers.boxes[name], entry["lifecycle"] == "up"
-        started = float(str(entry.get("startedAtMs") or 0.0)) / 1000.0 or None
-
-        def told() -> None:
-            for instance in self.stage.instances:
-                register.told(instance.number, worker.number, runs, started)
-
-        self.loop.after(TOLD, told)
--- a/tests/processes/test_rare_moments.py
+++ b/tests/processes/test_rare_moments.py
@@ -8,14 +8,14 @@
 from pathlib import Path
 
 import pytest
-from cases import TOLD, Case
+from cases import Case
 
 from hopshed.interface import Role
 from yewlab.processes.clients import Way
 from yewlab.processes.host import Process
 from yewlab.processes.operate import Waits
 from yewlab.processes.register import Face
-from yewlab.processes.stage import OFFSET
+from yewlab.processes.stage import OFFSET, TOLD_WITHIN
 
 
 @pytest.fixture
@@ -63,10 +63,10 @@
     def script() -> Waits:
         for face in case.stage.register.faces:
             ending(face)
-        case.change("w0", lifecycle="draining")  # a reader, and then a writer
+        case.stage.change("w0", lifecycle="draining")  # a reader, and then a writer
         yield 0.5
-        case.change("w3", lifecycle="draining")
-        yield TOLD + 2.5
+        case.stage.change("w3", lifecycle="draining")
+        yield TOLD_WITHIN + 2.5
         asked = [case.stage.workers.boxes[name].asked for name in ("w0", "w3")]
         yield 2.0
         assert asked == [case.stage.workers.boxes[name].asked for name in ("w0", "w3")]
@@ -83,7 +83,7 @@
             worker.die()
             worker.cool()
             started = round((worker.server.started + OFFSET) * 1000.0)
-            case.change(name, lifecycle="up", startedAtMs=started)
+            case.stage.change(name, lifecycle="up", startedAtMs=started)
             yield 3.0
         yield 3.0
 
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -308,9 +308,8 @@
             return
         left = life.deadline - self._clock()
         timeout = min(act.timeout, left) if act.timeout > 0 else left
-        if not reads and send_rules.may_have_run(
-            life
-        ):  # a server that hangs may take it up when it comes back
+        if not reads and send_rules.may_have_run(life):
+            # A server that hangs may take a repeat up when it goes on, and after the window it runs anew.
             timeout = min(timeout, send_rules.repeat_window_left(life, self.settings, self._clock()))
         if reads and life.held.possible:
             self._let_go(life)
--- a/yewlab/processes/soak.py
+++ b/yewlab/processes/soak.py
@@ -19,10 +19,9 @@
 from .host import Process
 from .net import ClientSide
 from .operate import FAULTS, Operators, Play, Waits
-from .stage import OFFSET, Stage
+from .stage import OFFSET, TOLD_WITHIN, Stage
 
 SETTLES, PAUSE, ENDS_WITHIN = 1.0, (0.5, 2.0), 20.0  # s before the script, between faults, and after it
-TOLD_WITHIN = 6.0  # s after which a change of the list counts as told
 HANGS_FOR, SILENT_FOR, HELD_UP_FOR = (3.0, 5.0), (1.0, 3.0), (0.05, 0.15)  # s
 IDLE_CLIENTS, CROWD_SEEDS = 300, 5  # connections of a crowd; one seed in so many has one
 SHIM = Path(__file__).parent / "shim"
@@ -104,19 +103,6 @@
             instance = self.stage.instances[number % len(self.stage.instances)]
             self.crowd.append(ClientSide(self.loop, instance.address))
 
-    def change(self, name: str, **entry: object) -> None:
-        """Tell the list, and the rules what counts as told."""
-        stage, number = self.stage, self.stage.workers.boxes[name].number
-        stage.register.put(name, **entry)
-        started = float(str(entry.get("startedAtMs") or 0.0)) / 1000.0 or None
-        runs = entry["lifecycle"] == "up"
-
-        def told() -> None:
-            for instance in stage.instances:
-                stage.register.told(instance.number, number, runs, started)
-
-        self.loop.after(TOLD_WITHIN, told)
-
     # ---- faults ----
 
     def writers_hang(self) -> Waits:
@@ -154,9 +140,9 @@
         for face in faces:
             face.forget_watches() if silent else face.lose_watches()
         name = self.random.choice(self.writers)
-        self.change(name, lifecycle="draining")
+        self.stage.change(name, lifecycle="draining")
         yield TOLD_WITHIN + 1.0
-        self.change(name, lifecycle="up")
+        self.stage.change(name, lifecycle="up")
 
     def cold_start(self) -> Waits:
         """A server's process ends, and a new one is there at once."""
@@ -164,7 +150,7 @@
         worker = self.stage.workers.boxes[name]
         worker.die()
         worker.cool()
-        self.change(name, lifecycle="up", startedAtMs=round((worker.server.started + OFFSET) * 1000.0))
+        self.stage.change(name, lifecycle="up", startedAtMs=round((worker.server.started + OFFSET) * 1000.0))
         yield 1.0
 
     def restarts(self) -> Waits:
--- a/yewlab/processes/stage.py
+++ b/yewlab/processes/stage.py
@@ -28,6 +28,7 @@
 FLEET = (Role.READER, Role.READER, Role.READER, Role.WRITER, Role.WRITER, Role.WRITER, Role.MIXED)
 ANSWER = (30.0, 120.0)  # tokens, some 1 to 3 s: short enough that what was taken ends within a test's time
 COPY = "-copy-"  # between a worker's name and the number of a further entry for it
+TOLD_WITHIN = 6.0  # s after which a change counts as told, whatever became of the watch
 QUOTA = 1e6  # turns a second: nobody is beyond a share
 OFFSET = time.time() - time.monotonic()  # Unix time less the loop's
 
@@ -113,6 +114,18 @@
         self.rules.told(instance, server, runs, self.loop.now)
         self.rules.started(instance, server, None if started is None else started - OFFSET)
 
+    def change(self, name: str, **entry: Any) -> None:
+        """Change a server's entry of the list; who has not heard of it in time counts as told."""
+        self.register.put(name, **entry)
+        number, runs = self.workers.boxes[name].number, entry["lifecycle"] == "up"
+        started = float(entry.get("startedAtMs") or 0.0) / 1000.0 or None
+
+        def told() -> None:
+            for instance in self.instances:
+                self.register.told(instance.number, number, runs, started)
+
+        self.loop.after(TOLD_WITHIN, told)
+
     def hang(self, names: Sequence[str]) -> None:
         """These servers read, write, accept and do nothing; their connections stay open."""
         for name in names:
