--- a/tests/test_held_up.py
+++ b/tests/test_held_up.py
@@ -9,6 +9,7 @@
 from settings import ENV
 from test_platform import FLEET, Platform, begin
 
+from yewhook.platform.clients import PENALTY
 from yewhook.platform.workers import STILL, STILL_ALONE
 
 
@@ -52,6 +53,14 @@
     assert only_life_deadline(p) <= sent + 5.0
 
 
+def test_a_penalty_takes_no_more_off_a_clients_time_than_it_lasts(p: Platform) -> None:
+    open_connection(p)
+    p.play("wait 3.0\nclient send ask lane=nobody\nclient expect HTTP/1.1 400")
+    sent = p.clock.now
+    p.play("client send ask left=5000m\nwait 0.6")
+    assert only_life_deadline(p) > sent + 5.0 - PENALTY - 0.1
+
+
 def test_a_router_that_is_not_held_up_takes_next_to_nothing_off_a_clients_time(p: Platform) -> None:
     open_connection(p)
     p.play("wait 1.0")
