--- a/yewlab/processes/soak.py
+++ b/yewlab/processes/soak.py
@@ -21,7 +21,7 @@
 from .operate import FAULTS, Operators, Play, Waits
 from .stage import OFFSET, TOLD_WITHIN, Stage
 
-SETTLES, PAUSE, ENDS_WITHIN = 1.0, (0.5, 2.0), 20.0  # s before the script, between faults, and after it
+SETTLES, PAUSE = 1.0, (0.5, 2.0)  # s before the script, and between its faults
 HANGS_FOR, SILENT_FOR, HELD_UP_FOR = (3.0, 5.0), (1.0, 3.0), (0.05, 0.15)  # s
 IDLE_CLIENTS, CROWD_SEEDS = 300, 5  # connections of a crowd; one seed in so many has one
 SHIM = Path(__file__).parent / "shim"
