Read past several errors in a row, and go on sending for a second

Ruled out: the restart (17 s away), the window for new connections, a close over unread bytes (the client read an end in good order), and a late loop (no long turn).

Cause: `Channel._receive_after` took a second error of `recv` in a row for the connection's end, and `Channel.ended` two errors of a peek. The first closed a good connection over a request that had been read. The second is worse: the core ends the request as one whose client has gone, and its connection stays open with no answer until the process ends. `send` gave up after three errors in a row, which a full queue of the kernel's gives within a millisecond, and shared a timer with `finish`.

Result: reading goes on past seven errors in a row, sending is tried again every 20 ms for a second; the end of a connection is found by reading.

--- a/yewhook/channel.py
+++ b/yewhook/channel.py
@@ -14,9 +14,11 @@
 # Reads a turn of an accepted connection: as many as the largest request takes, and one that finds its end.
 # Whoever has asked and gone is known to be gone before anything is done for the request.
 READ_ACCEPTED = 8
-# Errors of sending in a row after which a connection counts as lost. The kernel tells the cause of an end
+# Errors of reading in a row after which a connection counts as lost. The kernel tells the cause of an end
 # once, and after that the end itself; an error that is no end leaves the connection good.
-SEND_ERRORS = 3
+READ_ERRORS = 8
+SEND_AGAIN = 0.02  # s after an error of sending until the next try
+SEND_GIVEN_UP = 1.0  # s for which sending may fail; the end of a connection is found by reading, and sooner
 FLUSH, LINGER = 10.0, 1.0  # s to write what is left, and then for the peer to close too
 
 
@@ -42,9 +44,10 @@
         self._sock, self._connecting = sock, connecting
         self._out = bytearray()
         self._cut_short = False  # closed before all was written
-        self.paused = self._finishing = self._unwritable = False
+        self.paused = self._finishing = False
         self._accepted = not connecting
-        self._send_errors = 0  # in a row
+        self._send_fails_since: float | None = None  # the loop's clock, where the last try failed
+        self._send_again = Timer(loop)  # runs from a failed try to the next one
         self._timer = Timer(loop)  # for the end of a connection that is being finished
         loop.sockets += 1
         loop.accepted += self._accepted
@@ -77,11 +80,9 @@
     def unread(self) -> bool:
         """Whether bytes, or the peer's end, wait to be read; an idle connection is no good then."""
         try:
-            self._sock.recv(1, socket.MSG_PEEK)
+            self._read(1, socket.MSG_PEEK)
         except BlockingIOError:
             return False
-        except OSError:
-            return True
         return True
 
     @property
@@ -89,14 +90,11 @@
         """Whether it can be seen now that the peer has closed or broken it, with nothing left to read."""
         if self.closed:
             return True
-        for _ in range(2):  # one error may be none of the connection's end
-            try:
-                return not self._sock.recv(1, socket.MSG_PEEK)
-            except BlockingIOError:
-                return False
-            except OSError:
-                continue
-        return True
+        try:
+            data, _ = self._read(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        return not data
 
     def send(self, data: bytes) -> None:
         if self.closed or self._finishing:
@@ -126,6 +124,7 @@
         if not self.closed:
             self.closed = True
             self._timer.cancel()
+            self._send_again.cancel()
             self.loop.watch(self._sock, 0, self._ready)
             self._sock.close()
             self._cut_short = bool(self._out)
@@ -138,7 +137,7 @@
         if self.closed:
             return
         read = 0 if self.paused or self._connecting else selectors.EVENT_READ
-        waits = self._connecting or (self._out and not self._unwritable)
+        waits = self._connecting or (self._out and not self._send_again.running)
         write = selectors.EVENT_WRITE if waits else 0
         self.loop.watch(self._sock, read | write, self._ready, self._first)
 
@@ -168,36 +167,36 @@
     def _receive(self) -> bool:
         """Read once; whether there may be more."""
         try:
-            data = self._sock.recv(READ_SIZE)
+            data, error = self._read(READ_SIZE)
         except BlockingIOError:
             return False
-        except OSError as error:
-            return self._receive_after(error)
+        if not data:
+            self._lost(error)
+            return False
         return self._received(data)
 
-    def _receive_after(self, error: OSError) -> bool:
-        """Read once more after an error: where it was the connection's end, that is found now."""
-        try:
-            data = self._sock.recv(READ_SIZE)
-        except BlockingIOError:
-            return False
-        except OSError:
-            data = b""
-        if data:
-            return self._received(data)
-        self._lost(error)
-        return False
+    def _read(self, size: int, flags: int = 0) -> tuple[bytes, OSError | None]:
+        """What can be read now, past errors that are no end; nothing at the connection's end, with its cause.
+
+        Raises BlockingIOError where nothing has come.
+        """
+        cause: OSError | None = None
+        for _ in range(READ_ERRORS):
+            try:
+                return self._sock.recv(size, flags), cause
+            except BlockingIOError:
+                raise
+            except OSError as error:
+                cause = cause or error
+        return b"", cause
 
     def _received(self, data: bytes) -> bool:
-        if not data:
-            self._lost(None)
-            return False
         if not self._finishing:
             self.owner.received(data)
         return not self.closed and (self._accepted or len(data) == READ_SIZE)
 
     def _flush(self) -> None:
-        if not self._out or self._unwritable:
+        if not self._out or self._send_again.running:
             return
         try:
             sent = self._sock.send(self._out)
@@ -205,7 +204,7 @@
             sent = 0
         except OSError as error:
             return self._not_sent(error)
-        self._send_errors = 0
+        self._send_fails_since = None
         del self._out[:sent]
         self._watch()
         if self._out:
@@ -215,16 +214,13 @@
         return self.owner.drained()
 
     def _not_sent(self, error: OSError) -> None:
-        """Try again, and after several errors in a row send no more.
-
-        What the peer sent before the break still counts: reading it finds the end, too. Where there is none,
-        the connection is lost all the same."""
-        self._send_errors += 1
-        if self._send_errors >= SEND_ERRORS:
-            self._unwritable, self.paused = True, False
-            if not self._finishing:
-                self._timer.set(LINGER, lambda: self._lost(error))
-        self._watch()
+        """Try again in a moment, for a while. What the peer sent before a break still counts and is read."""
+        now = self.loop.now
+        self._send_fails_since = now if self._send_fails_since is None else self._send_fails_since
+        if now - self._send_fails_since >= SEND_GIVEN_UP:
+            return self._lost(error)
+        self._send_again.set(SEND_AGAIN, self._flush)
+        return self._watch()
 
     def _end_sending(self) -> None:
         self._timer.set(LINGER, self.abort)
