Show that each change of a list of thousands costs a pass over all of it

Seen: among 3,200 servers one change of the list takes the module 12 to 19 ms of the processor's time, and the first request after it 10 ms (a plain drive of `Controller.handle`, 300 changes of one server that goes and one that comes, beside other work). Six in ten of 3,200 replaced within 7 s are 1,920 such changes: a minute of work, in which a router hears nothing else, so that what it was asked has no answer in time.

Lines: `Controller._listed` (two passes by `Fleet.index`, `Gossip.listed`, `Topology.listed`, `Rendezvous.servers`), `SlowStart._measured_rate` for each server that starts.

--- a/tests/test_large_list.py
+++ b/tests/test_large_list.py
@@ -17,6 +17,10 @@
 MEAN_TURN = 0.005  # s of it; some 0.002 s, and 0.008 s when each decision looked at all servers several times
 
 
+REPLACED = 300  # servers, one after another
+MEAN_CHANGE = 0.002  # s of it for one of them; some 0.0004 s, and 0.012 s when each looked at all servers
+
+
 class LargeRecording(Recording):
     """The recorded stream with thousands of servers, timed."""
 
@@ -58,3 +62,22 @@
     play.now += 0.02
     play.controller.handle(play.now, [i.RequestArrived("cold", 0, 0, "cold", 5.0, 1000.0)])
     assert time.process_time() - began < LONGEST_LIST
+
+
+def test_servers_replaced_one_by_one_cost_their_number_and_not_its_square() -> None:
+    # Each message of a watch made a router look at all servers some ten times: six in ten of 3,200 replaced in
+    # 7 s kept it from all else for a minute.
+    play = LargeRecording("plain 1")
+    play.turns(20)
+    fleet, began = list(play.fleet.values()), time.process_time()
+    for number, old in enumerate(fleet[:REPLACED]):
+        play.now += 0.004
+        new = old._replace(id=SERVERS + 1 + number, started=play.now)
+        gone = old._replace(state=i.ServerState.GONE)
+        play.controller.handle(play.now, [i.ServersListed(i.ListKind.CHANGES, (gone, new))])
+    taken = (time.process_time() - began) / REPLACED
+    print(f"a change: {taken * 1000:.2f} ms")
+    assert taken < MEAN_CHANGE
+    running = {role: len(servers) for role, servers in play.controller.fleet.running.items()}
+    assert sum(running.values()) == SERVERS
+    play.controller.handle(play.now, [i.RequestArrived("last", 0, 0, "last", 5.0, 1000.0)])
