Deliver what a server wrote before it hung, as its kernel does; soak with lists of thousands

A process that hangs has handed such an answer to its kernel, which sends it; the stage kept it for 4 s, so that a read had ended and its state waited while its router could not know. Answers that are lost stay a fault of their own, with a test that is listed.

--- a/yewlab/processes/links.py
+++ b/yewlab/processes/links.py
@@ -133,9 +133,10 @@
         return None
 
     def fall_silent(self) -> None:
-        """Pass nothing on, either way."""
+        """Pass nothing on, either way, but what the far end wrote before: its kernel sends that."""
         self._kept = self._kept or bytearray()
         if hasattr(self, "_far"):
+            self._far.catch_up()
             self._far.pause(True)
 
     def wake(self) -> None:
--- a/yewlab/processes/soak.py
+++ b/yewlab/processes/soak.py
@@ -1,8 +1,9 @@
 """Faults by chance on real processes, one after another; the rules are checked over all of them.
 
-A seed draws the fleet, the time for which states may be held and a script: servers that hang with their
-connections open, connections that fall silent or break, watches that end, drains, cold starts, restarts in
-series with a second signal on the way, system calls that fail and a wall clock that steps.
+A seed draws the fleet, a list of a few servers or of thousands, the time for which states may be held and a
+script: servers that hang with their connections open, connections that fall silent or break, watches that
+end, drains, cold starts, restarts in series with a second signal on the way, system calls that fail and a
+wall clock that steps.
 """
 
 from __future__ import annotations
@@ -24,6 +25,8 @@
 SETTLES, PAUSE = 1.0, (0.5, 2.0)  # s before the script, and between its faults
 HANGS_FOR, SILENT_FOR, HELD_UP_FOR = (3.0, 5.0), (1.0, 3.0), (0.05, 0.15)  # s
 IDLE_CLIENTS, CROWD_SEEDS = 300, 5  # connections of a crowd; one seed in so many has one
+# Entries of the list for each server, and one seed in so many (those that leave this rest) with such a list.
+MANY_ENTRIES, LONG_LIST_SEEDS, LONG_LIST_REST = 300, 4, 3
 SHIM = Path(__file__).parent / "shim"
 
 
@@ -67,6 +70,7 @@
             3,
             extra=extra,
             environment=environment,
+            entries=MANY_ENTRIES if seed % LONG_LIST_SEEDS == LONG_LIST_REST else 1,
         )
         self.loop, self.operators = self.stage.loop, Operators(self.stage)
         self.crowd: list[ClientSide] = []
--- a/yewlab/processes/stage.py
+++ b/yewlab/processes/stage.py
@@ -115,8 +115,9 @@
         self.rules.started(instance, server, None if started is None else started - OFFSET)
 
     def change(self, name: str, **entry: Any) -> None:
-        """Change a server's entry of the list; who has not heard of it in time counts as told."""
-        self.register.put(name, **entry)
+        """Change a server's entries of the list; who has not heard of it in time counts as told."""
+        for listed in [listed for listed in self.register.entries if listed.partition(COPY)[0] == name]:
+            self.register.put(listed, **entry)
         number, runs = self.workers.boxes[name].number, entry["lifecycle"] == "up"
         started = float(entry.get("startedAtMs") or 0.0) / 1000.0 or None
 
