Put a start that discovery tells between two of its words, though the wall clock has stepped

Seen by reading, on the list of relatives (windows are real time): `Registry.entry` made a server's start of Unix time by an offset taken once as the process began. A router that begins while its wall clock is an hour ahead takes each server that joins cold for one that has been up for an hour, and sends it a warm one's part; with the clock behind, the start lies in the future and the part that it can take falls under 0. The soak could not see it: its clock stepped only after each process had begun.

Result: a start that was told between two words of discovery and cannot lie there (6.5 s are allowed for lists that come late) is put there, and none lies in the future; the same start told again stays the same. Half of the soak's seeds with steps now begin with the clock ahead. Not mended: a first list that tells of a cold server by a clock that is ahead, which nothing shows.

--- a/yewhook/platform/discovery.py
+++ b/yewhook/platform/discovery.py
@@ -22,6 +22,7 @@
 from ..config import Address
 from ..loop import Loop, Timer
 from ..registry import Registry
+from ..start_times import Told
 from . import http
 
 SILENCE = 2.5  # s; an empty line comes every 2
@@ -221,9 +222,9 @@
 
     def said(self, call: Call, message: dict[str, Any] | None) -> None:
         """A word of a call: a message, or None where nothing has changed. Raises ValueError."""
-        self._heard = self._loop.now
+        before, self._heard = self._heard, self._loop.now
         if message is not None:
-            self._message(call, message)
+            self._message(call, message, Told(self._loop.now, before if self.answered else -math.inf))
         elif call.address != self._numbered_by:
             return  # asked for a whole list, it has told nothing yet
         if call is not self._serving:
@@ -239,7 +240,7 @@
         if old is not None:
             old.close()
 
-    def _message(self, call: Call, message: dict[str, Any]) -> None:
+    def _message(self, call: Call, message: dict[str, Any], told: Told) -> None:
         try:
             generation = int(message["generation"])
             held = self._generation if call.address == self._numbered_by else 0
@@ -249,7 +250,7 @@
                 raise ValueError(f"a list of generation {generation}, and {held} is held")
             if call is not self._serving and call.after <= generation < held:
                 return  # it crossed a later one of the call before; this call brings that next, too
-            servers = self._registry.read(message)
+            servers = self._registry.read(message, told)
         except (KeyError, TypeError, AttributeError) as error:
             raise ValueError(f"an entry: {type(error).__name__} {error}") from error
         self._generation, self._numbered_by = generation, call.address
--- a/yewhook/platform/front.py
+++ b/yewhook/platform/front.py
@@ -14,6 +14,7 @@
 from ..loop import Loop
 from ..operations.instance import Posture
 from ..service import Room, inherited
+from ..start_times import Told
 from ..throttle import Throttle
 from .clients import ClientFront
 from .discovery import Watch
@@ -86,7 +87,7 @@
     def _begin(self) -> int:
         """Go on from the configuration's list; its generation."""
         try:
-            known = self.registry.read(self._config.known)
+            known = self.registry.read(self._config.known, Told(self.loop.now))
         except (KeyError, TypeError, ValueError) as error:
             self.loop.log("known list not understood", str(error))
             known = ()
--- a/yewhook/registry.py
+++ b/yewhook/registry.py
@@ -10,6 +10,7 @@
 
 from .config import Address, ConfigError, Names, address
 from .log import Log
+from .start_times import StartTimes, Told
 
 STATES = {
     "up": i.ServerState.RUNNING,
@@ -17,6 +18,8 @@
     "removed": i.ServerState.GONE,
 }
 
+NO_TIMES = Told()
+
 
 def server_id(instance: str) -> int:
     """The same number for a worker at every router, whatever order they heard of it in."""
@@ -27,12 +30,14 @@
     """Translates discovery's entries into the module's servers, and keeps their addresses."""
 
     def __init__(self, names: Names, unix_offset: float, log: Log) -> None:
-        self._names, self._offset = names, unix_offset  # monotonic less Unix time
+        """`unix_offset` = the loop's clock less Unix time, as this process began."""
+        self._names, self._starts = names, StartTimes(unix_offset)
         self.log = log
         self.addresses: dict[int, Address] = {}
         self.states: dict[int, i.ServerState] = {}
 
-    def entry(self, raw: dict[str, Any]) -> i.Server:
+    def entry(self, raw: dict[str, Any], told: Told) -> i.Server:
+        """One entry of a list. Raises KeyError, TypeError, ValueError, OverflowError or AttributeError."""
         number = server_id(str(raw["instanceId"]))
         started = float(raw.get("startedAtMs") or 0.0)
         zone, kind = raw.get("zone"), raw.get("machineType")
@@ -42,16 +47,16 @@
             self._names.zones.index(zone) if zone in self._names.zones else 0,
             int(raw.get("cell") or 0),
             STATES[raw["lifecycle"]],
-            started / 1000.0 + self._offset if started else None,
+            self._starts.read(number, started / 1000.0, told),
             float(raw.get("weight") or 1.0),
         )
 
-    def read(self, message: dict[str, Any]) -> tuple[i.Server, ...]:
+    def read(self, message: dict[str, Any], told: Told = NO_TIMES) -> tuple[i.Server, ...]:
         """The servers of a list or of changes; an entry that makes no sense must not hide the others."""
         servers = []
         for raw in message.get("instances") or []:
             try:
-                server = self.entry(raw)
+                server = self.entry(raw, told)
                 place = address(raw["hostPort"], "hostPort") if raw.get("hostPort") else None
             except (KeyError, TypeError, ValueError, OverflowError, AttributeError, ConfigError) as error:
                 self.log("entry not understood", f"{type(error).__name__} {error} in {raw}")
@@ -89,6 +94,7 @@
         return kept
 
     def forget(self, number: int) -> None:
+        self._starts.forget(number)
         self.addresses.pop(number, None)
         self.states.pop(number, None)
 
--- a/yewlab/processes/shim/sitecustomize.py
+++ b/yewlab/processes/shim/sitecustomize.py
@@ -66,9 +66,10 @@
     for name, fault in faults.items():
         setattr(plain, name, fault)
     began, wall = time.monotonic(), time.time
+    first = Random(f"clock {seed}").randrange(2)  # whether the process begins with its clock ahead
 
     def stepped() -> float:
-        return wall() + STEP * (int((time.monotonic() - began) / STEP_EVERY) % 2)
+        return wall() + STEP * ((first + int((time.monotonic() - began) / STEP_EVERY)) % 2)
 
     time.time = stepped
 
