Start, and read the files at SIGHUP, though sockets and files fail to open for a moment

Seen: a process whose first or second `socket` fails with ENOBUFS ends with `yewhook: [Errno 105]` (a trial on the stage: the n-th socket of each process fails, n from 1 to 8; n = 1 and 2 refuse to start, 3 to 8 serve). These are the door's listener and the socket for messages between routers; the clients' listener is another where it is not inherited. A configuration that could not be opened at SIGHUP kept discovery's old address until the next signal, though a change counts 4 s after it.

Lines: `service.listen`, `Peers._open`, `Loop`, `Service.heed_signals`, `cli.serve`, `Service.reload`. Now tried again for 5 s at the start and 2.8 s at a reload, for want of descriptors, buffers or memory only: other errors are told at once as before.

--- a/yewhook/cli.py
+++ b/yewhook/cli.py
@@ -27,6 +27,7 @@
 from .oversight import Oversight
 from .platform.front import PlatformFront
 from .service import Room, Service
+from .shortage import insist
 
 if TYPE_CHECKING:
     from .recovery.keeper import Keeper
@@ -58,9 +59,9 @@
     keeper = None
     try:
         read_operators = partial(read_settings, settings)
-        operators = read_operators()
+        operators = insist(read_operators)
         service.log.use(operators.log)
-        config = read_config(os.environ) if platform else None
+        config = insist(partial(read_config, os.environ)) if platform else None
         limits = config.limits if config else Limits()
         door_files = FILES if config is not None and config.mgmt is not None else 0
         room = Room(service.loop, limits, door_files)
--- a/yewhook/loop.py
+++ b/yewhook/loop.py
@@ -10,6 +10,7 @@
 
 from .deadlines import Deadline, Deadlines
 from .log import Log
+from .shortage import insist
 
 Handler = Callable[[int], None]
 LONG_TURN = 0.1  # s; a turn that takes longer is logged: nothing else is heard meanwhile
@@ -39,7 +40,7 @@
         self.sockets = 0  # open ones that this process holds, as their owners count them
         self.accepted = 0  # those of them that others have opened
         self.finishing = 0  # those of them whose last bytes are still on their way
-        self._selector = selectors.DefaultSelector()
+        self._selector = insist(selectors.DefaultSelector)
         self._first: set[int] = set()  # files that are heard before all others
 
     def watch(self, sock: HasFile, events: int, handler: Handler, first: bool = False) -> None:
--- a/yewhook/platform/peers.py
+++ b/yewhook/platform/peers.py
@@ -12,6 +12,7 @@
 
 from ..config import Address
 from ..loop import Loop, Timer
+from ..shortage import insist
 
 LONGEST = 256  # bytes of a message; a longer one is not permitted
 AT_ONCE = 64  # messages read in a turn
@@ -38,7 +39,7 @@
         if waits:
             self.open()
         else:
-            self._open()
+            insist(self._open)
 
     def _open(self) -> None:
         mine = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -16,6 +16,7 @@
 from .log import Log
 from .loop import Loop, Timer
 from .operations.instance import Event, Instance, Posture, State, step
+from .shortage import insist, is_short
 
 OWN_FILES = 16  # of the limit on descriptors: standard streams, listeners, the selector, the wake-up pair
 WORKERS_PART = 3  # one part in so many is kept free of clients, for what they ask for
@@ -25,6 +26,7 @@
 THIN_OUT = 0.1  # s between looks at the streams that still run, a part of which is moved at each
 LAST_MOMENT = 0.4  # s before that at which all that is still open is ended in good order
 LAST_BYTES = 0.3  # s of that moment in which the last answers may still be on their way
+RELOAD_TRIES, RELOAD_AGAIN = 15, 0.2  # tries of a reload for want of descriptors; s between them
 ABLE_EVERY, ABLE_MOST = 0.02, 1.0  # s between looks for a first list; s after which it serves without one
 BACKLOG = 4096  # connections that may wait; one that finds no place comes again after 1 s at the soonest
 ACCEPT_AT_ONCE, ACCEPT_AGAIN = 64, 0.05  # connections a turn; s until a full process tries again
@@ -44,7 +46,8 @@
 
 
 def listen(address: Address) -> socket.socket:
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    """A socket that listens at an address; for a process's start. Raises OSError."""
+    listener = insist(lambda: socket.socket(socket.AF_INET, socket.SOCK_STREAM))
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind(address)
     listener.listen(BACKLOG)
@@ -198,7 +201,7 @@
     def heed_signals(self) -> None:
         """Drain at SIGTERM and SIGINT, reload at SIGHUP; to be called before anything is taken."""
         # A pipe and no pair of sockets: those are of the Unix kind, which the platform does not grant.
-        read_end, write_end = os.pipe()
+        read_end, write_end = insist(os.pipe)
         for end in (read_end, write_end):
             os.set_blocking(end, False)
         wake_read, wake_write = self._wake = FileIO(read_end), FileIO(write_end, "w")
@@ -236,16 +239,22 @@
         if {signal.SIGTERM, signal.SIGINT} & set(numbers):
             self.hear(Event.TERM)
 
-    def reload(self) -> None:
-        """Put new configuration files in force: all of them, or none where one is not good."""
+    def reload(self, tries: int = RELOAD_TRIES) -> None:
+        """Put new configuration files in force: all of them, or none where one is not good.
+
+        `tries` = how often a file may be read that cannot be opened for want of descriptors.
+        """
         self.hear(Event.RELOAD)
         try:
             ready = [read() for read in [*self.files, *(front.reload for front in self.fronts)]]
         except ConfigError as error:
+            if is_short(error) and tries > 1:
+                return self.loop.after(RELOAD_AGAIN, lambda: self.reload(tries - 1))
             self.log("reload refused", f"{error}; the configuration stays as it was")
-            return
+            return None
         changes = "; ".join(filter(None, [change() for change in ready]))
         self.log("reloaded", changes or "nothing that can change while it runs has changed")
+        return None
 
     def hear(self, event: Event) -> None:
         """What moves the instance's state, and what follows from it."""
