--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -113,12 +113,16 @@
     service = Service(Log("test"), loop)
     tries = Failing(fails, errno.ENFILE)
 
+    def put_in_force() -> str:
+        read.append("new")
+        return ""
+
     def configuration() -> Callable[[], str]:
         try:
             tries()
         except OSError as error:
             raise ConfigError("the file cannot be read") from error
-        return lambda: read.append("new") or ""
+        return put_in_force
 
     service.files.append(configuration)
     service.reload()
