--- a/tests/processes/test_silence.py
+++ b/tests/processes/test_silence.py
@@ -36,16 +36,23 @@
         yield BETWEEN
 
 
-def lose_answers(case: Case, names: list[str]) -> Waits:
-    """What these servers write is lost, several times; they take all that is asked of them."""
+def lose_answers(case: Case, names: list[str], until_given_up: bool = False) -> Waits:
+    """What these servers write is lost, several times; they take all that is asked of them.
+
+    `until_given_up` = a read there counts as out until its router gives it up, not until it has ended.
+    """
     links = case.stage.links_to(names)
     for _ in range(TIMES):
         for link in links:
             link.ways.back = False
+        for name in names:
+            case.stage.workers.boxes[name].unheard = until_given_up
         yield SILENT_FOR
         for link in links:
             link.ways.back = True
             link.reset()
+        for name in names:
+            case.stage.workers.boxes[name].unheard = False
         yield BETWEEN
 
 
@@ -71,3 +78,9 @@
 def test_states_of_reads_whose_answers_are_lost_are_let_go_in_time(case: Case) -> None:
     # Nothing comes of a read that has ended well, and its connection stays open.
     case.play(lambda: lose_answers(case, ["w0", "w1", "w2"]))
+
+
+@pytest.mark.parametrize("case", [(500.0, 1)], ids=["500 ms"], indirect=True)
+def test_states_of_reads_whose_answers_are_lost_are_let_go_once_they_are_given_up(case: Case) -> None:
+    # As above, by the wire's count: it runs from the last `finished`, and a call that has been taken is out.
+    case.play(lambda: lose_answers(case, ["w0", "w1", "w2"], until_given_up=True))
--- a/yewlab/processes/workers.py
+++ b/yewlab/processes/workers.py
@@ -74,6 +74,8 @@
         self.server = Server(fleet.time, engine)
         self.asked = 0  # attempts that have come
         self.hung = False  # it brings nothing to an end; that it reads nothing is up to the links to it
+        # What it writes is lost on the way: a read is out until its router gives it up, as the wire has it.
+        self.unheard = False
         self._turns: dict[ServerSide, Turn] = {}
         self._listeners = [self._listen(instance) for instance in range(instances)]
 
@@ -138,7 +140,8 @@
             return
         if what == "read":
             self.fleet.states[turn.request_id] = self
-            self._end(turn)
+            if not self.unheard:
+                self._end(turn)
             kept = json.dumps({"cached_tokens": int(turn.job.prompt - turn.job.fresh)}).encode()
             turn.side.answer(202, kept, {"X-Pressure": self._load()})
         elif what == "first":
