Look at all servers of a large role once in a while for those that start, too

Cause: whether a role has warm servers that were sent nothing was asked of all its servers for each that starts.

--- a/hopshed/slow_start.py
+++ b/hopshed/slow_start.py
@@ -14,16 +14,17 @@
 LEAST = 1.0  # sends that the bucket holds at the least
 FEW_AT_ONCE = 0.5  # sends that a server bears at once, whatever its capacity
 EVEN_TIMES = 1.25  # the most that a warm server counts for, against an even share of all
-# Servers of a role from which on the warm rate is measured anew after a while only, and that while in s for
-# each server: some 100 times what it costs, and little of the time in which the rate moves.
+# Servers of a role from which on they are looked at anew after a while only, and that while in s for each
+# server: some 100 times what a look costs, and little of the time in which the rate moves.
 MANY, RATE_KEPT = 256, 5e-5
 WORK_MEMORY = 5.0  # s; time constant of the measured rate of work sent to a server
 
 
-class _WarmRate(NamedTuple):
-    """A measured rate, and until when it stands (the loop's clock, in s)."""
+class _Seen(NamedTuple):
+    """What a look at all servers of a role has shown, and until when it stands (the loop's clock, in s)."""
 
-    rate: float  # sends a second
+    warm_rate: float  # sends a second
+    untried: bool  # there are warm servers, and none was sent to
     until: float
     many: bool  # of so many servers that sends and changes of the list leave it as it is
 
@@ -32,13 +33,11 @@
     def __init__(self, settings: Settings) -> None:
         self.s = settings
         self.took: dict[Role, float] = {}  # what a warm server took from us a second before a loss of all
-        self._rates: dict[Role, _WarmRate] = {}
-        self._untried: dict[Role, bool] = {}  # whether there are warm servers, and none was sent to
+        self._seen: dict[Role, _Seen] = {}
 
     def changed(self) -> None:
         """A send or a list has changed what the figures over all servers of a role are made of."""
-        self._rates = {role: kept for role, kept in self._rates.items() if kept.many}
-        self._untried.clear()
+        self._seen = {role: seen for role, seen in self._seen.items() if seen.many}
 
     def cold(self, w: Worker, now: float) -> bool:
         return self._age(w, now) < self.s.cold_time
@@ -56,12 +55,17 @@
 
         It counts for so many even shares of all sends at most: where few are warm, they are sent everything.
         """
-        kept = self._rates.get(w.role)
-        if kept is None or now > kept.until:
+        return self._look(w.role, peers, now).warm_rate
+
+    def _look(self, role: Role, peers: Sequence[Worker], now: float) -> _Seen:
+        """Look at all servers of a role, or go by the last look where that still stands."""
+        seen = self._seen.get(role)
+        if seen is None or now > seen.until:
             many = len(peers) >= MANY
             until = now + RATE_KEPT * len(peers) if many else now
-            kept = self._rates[w.role] = _WarmRate(self._measured_rate(w.role, peers, now), until, many)
-        return kept.rate
+            rate, untried = self._measured_rate(role, peers, now), self._none_sent_to_warm(peers, now)
+            seen = self._seen[role] = _Seen(rate, untried, until, many)
+        return seen
 
     def _measured_rate(self, role: Role, peers: Sequence[Worker], now: float) -> float:
         rates = [(p.work.faded(now, WORK_MEMORY), self.cold(p, now)) for p in peers]
@@ -81,9 +85,7 @@
         servers there, uses this one as far as it is warm: it draws no more than its part of what comes.
         """
         able = self.able(w, now)
-        if w.role not in self._untried:
-            self._untried[w.role] = self._none_sent_to_warm(peers, now)
-        if self._untried[w.role]:
+        if self._look(w.role, peers, now).untried:
             w.cold_level = draw + able
             return
         budget = self.s.fall_multiple * able * self.warm_rate(w, peers, now) * self.s.fall_window
