--- a/hopshed/slow_start.py
+++ b/hopshed/slow_start.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
-from typing import NamedTuple
+from collections.abc import Callable, Sequence
+from typing import Generic, NamedTuple, TypeVar
 
 from .interface import Role, Settings
 from .state import Worker
 
+T = TypeVar("T")
 SAFETY = 0.6  # part of the budget in use
 FLOOR = 0.3  # sends a second to each server where no peer is warm
 LEAST = 1.0  # sends that the bucket holds at the least
@@ -20,11 +21,10 @@
 WORK_MEMORY = 5.0  # s; time constant of the measured rate of work sent to a server
 
 
-class _Seen(NamedTuple):
+class _Look(NamedTuple, Generic[T]):
     """What a look at all servers of a role has shown, and until when it stands (the loop's clock, in s)."""
 
-    warm_rate: float  # sends a second
-    untried: bool  # there are warm servers, and none was sent to
+    shown: T
     until: float
     many: bool  # of so many servers that sends and changes of the list leave it as it is
 
@@ -33,11 +33,13 @@
     def __init__(self, settings: Settings) -> None:
         self.s = settings
         self.took: dict[Role, float] = {}  # what a warm server took from us a second before a loss of all
-        self._seen: dict[Role, _Seen] = {}
+        self._rates: dict[Role, _Look[float]] = {}  # the warm rate, in sends a second
+        self._untried: dict[Role, _Look[bool]] = {}  # whether there are warm servers, and none was sent to
 
     def changed(self) -> None:
         """A send or a list has changed what the figures over all servers of a role are made of."""
-        self._seen = {role: seen for role, seen in self._seen.items() if seen.many}
+        self._rates = {role: look for role, look in self._rates.items() if look.many}
+        self._untried = {role: look for role, look in self._untried.items() if look.many}
 
     def cold(self, w: Worker, now: float) -> bool:
         return self._age(w, now) < self.s.cold_time
@@ -55,17 +57,23 @@
 
         It counts for so many even shares of all sends at most: where few are warm, they are sent everything.
         """
-        return self._look(w.role, peers, now).warm_rate
-
-    def _look(self, role: Role, peers: Sequence[Worker], now: float) -> _Seen:
+        return self._shown(self._rates, self._measured_rate, w.role, peers, now)
+
+    def _shown(
+        self,
+        looks: dict[Role, _Look[T]],
+        measure: Callable[[Role, Sequence[Worker], float], T],
+        role: Role,
+        peers: Sequence[Worker],
+        now: float,
+    ) -> T:
         """Look at all servers of a role, or go by the last look where that still stands."""
-        seen = self._seen.get(role)
-        if seen is None or now > seen.until:
+        look = looks.get(role)
+        if look is None or now > look.until:
             many = len(peers) >= MANY
             until = now + RATE_KEPT * len(peers) if many else now
-            rate, untried = self._measured_rate(role, peers, now), self._none_sent_to_warm(peers, now)
-            seen = self._seen[role] = _Seen(rate, untried, until, many)
-        return seen
+            look = looks[role] = _Look(measure(role, peers, now), until, many)
+        return look.shown
 
     def _measured_rate(self, role: Role, peers: Sequence[Worker], now: float) -> float:
         rates = [(p.work.faded(now, WORK_MEMORY), self.cold(p, now)) for p in peers]
@@ -85,14 +93,14 @@
         servers there, uses this one as far as it is warm: it draws no more than its part of what comes.
         """
         able = self.able(w, now)
-        if self._look(w.role, peers, now).untried:
+        if self._shown(self._untried, self._none_sent_to_warm, w.role, peers, now):
             w.cold_level = draw + able
             return
         budget = self.s.fall_multiple * able * self.warm_rate(w, peers, now) * self.s.fall_window
         at_once = (math.sqrt(budget * self.s.instances) + FEW_AT_ONCE) / 2  # of all routers together
         w.cold_level = draw + min(able, at_once / self.s.instances)
 
-    def _none_sent_to_warm(self, peers: Sequence[Worker], now: float) -> bool:
+    def _none_sent_to_warm(self, role: Role, peers: Sequence[Worker], now: float) -> bool:
         """Whether there are warm peers, and this router has sent nothing to any peer."""
         return any(not self.cold(p, now) for p in peers) and not any(p.work.value for p in peers)
 
