--- a/review/standins.py
+++ b/review/standins.py
@@ -155,8 +155,12 @@
 class Client:
     """One request on a new connection, and what comes back."""
 
-    def __init__(self, name: str, record: Record, lane: str = "fault-lookup", patience_ms: int = 8000) -> None:
+    def __init__(
+        self, name: str, record: Record, lane: str = "fault-lookup", patience_ms: int = 8000, who: str = "client"
+    ) -> None:
+        """`name` is the request's id; `who` stands in the record."""
         self.name, self._record, self._lane, self._patience_ms = name, record, lane, patience_ms
+        self._who = who
         self.sent = False  # written to the last byte, on a connection that came up
         self.sent_at = self.ended_at = 0.0
         self.status = 0  # of the answer; 0 = none
@@ -168,7 +172,7 @@
         try:
             reader, writer = await asyncio.open_connection(HOST, port)
         except OSError as error:
-            self._record("client", f"{self.name}: no connection, {error.strerror or error}")
+            self._record(self._who, f"{self.name}: no connection, {error.strerror or error}")
             return
         body = json.dumps({"model": "chat", "stream": True, "max_tokens": 200, "messages": []}).encode()
         writer.write(
@@ -178,18 +182,18 @@
             f"Content-Length: {len(body)}\r\n\r\n".encode() + body
         )
         self.sent, self.sent_at = True, time.monotonic()
-        self._record("client", f"sends {self.name}")
+        self._record(self._who, f"sends {self.name}")
         try:
             start, headers = await read_head(reader)
             self.status = int(start.split(" ")[1])
             if self.status != 200:
                 await reader.readexactly(int(headers.get("content-length", 0)))
-                self._record("client", f"{self.name} is answered {self.status}")
+                self._record(self._who, f"{self.name} is answered {self.status}")
             else:
                 await self._read_stream(reader)
         except (asyncio.IncompleteReadError, ConnectionError, ValueError) as error:
             got = f"after {self.events} events" if self.status else "WITHOUT ANY ANSWER"
-            self._record("client", f"{self.name}: the connection ended {got} ({type(error).__name__})")
+            self._record(self._who, f"{self.name}: the connection ended {got} ({type(error).__name__})")
         self.ended_at = time.monotonic()
         writer.close()
 
@@ -197,7 +201,7 @@
         while size := int((await reader.readline()).strip() or b"-", 16):
             self.events += (await reader.readexactly(size + 2)).count(b'"finish_reason": null')
         self.whole = True
-        self._record("client", f"has {self.name} whole, {self.events} events")
+        self._record(self._who, f"has {self.name} whole, {self.events} events")
 
 
 async def call(port: int, method: str, path: str, timeout: float = 1.0) -> int:
@@ -250,13 +254,19 @@
     return tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
 
 
-def start(command: str, environ: dict[str, str], log: Path, pass_fds: tuple[int, ...] = ()) -> subprocess.Popen:
-    """Start a program of the project with `/bin/sh -c` from the root."""
+def start(
+    command: str, environ: dict[str, str], log: Path, listener: socket.socket | None = None
+) -> subprocess.Popen:
+    """Start a program of the project with `/bin/sh -c` from the root; it inherits `listener` as descriptor 4."""
+    inherited = {}
+    if listener is not None:
+        number = listener.fileno()
+        inherited = {"pass_fds": (4,), "preexec_fn": lambda: os.dup2(number, 4, inheritable=True)}
     base = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
     with log.open("a") as output:
         return subprocess.Popen(
             ["/bin/sh", "-c", command], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=output, stderr=output,
-            env=base | {"PYTHONDONTWRITEBYTECODE": "1"} | environ, pass_fds=pass_fds,
+            env=base | {"PYTHONDONTWRITEBYTECODE": "1"} | environ, **inherited,
         )  # fmt: skip
 
 
