--- a/review/standins.py
+++ b/review/standins.py
@@ -9,8 +9,10 @@
 import contextlib
 import json
 import os
+import signal
 import socket
 import subprocess
+import sys
 import time
 import tomllib
 from collections.abc import Callable
@@ -21,6 +23,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SSE_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that a case that is stopped ends what it has started
+
 
 class Record:
     """Writes `record.txt`: what was sent, answered and run, in seconds from the start."""
