Tool calls: an attempt given up while its connection comes up is never sent

Cause: WorkerAttempt.give_up reported the attempt as not written and closed its connection by Channel.finish, which keeps the unsent request for 10 s and writes it when the connection comes up.

Change: PeerPool.withdraw drops the request with its connection while that is not up. Nothing is left that could be sent.

--- /dev/null
+++ b/tests/test_given_up_calls.py
@@ -0,0 +1,134 @@
+"""Calls of the tool-calls front that are given up before their last byte is written: none may arrive later.
+
+Connections are held up by the kernel: a full accept queue, whose connections come up only when the kernel
+repeats the connection request, and a receiver with little room that does not read.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+from scenario import FakePeer
+from toolcalls_scenario import SAYINGS, ToolCalls
+
+CONNECT_REPEAT_S = 1.0  # after which the kernel repeats a connection request; real time
+MARGIN_S = 0.4  # real time without a byte, after which nothing more is on its way
+FILLING_CONNECTIONS = 3  # more than an accept queue of length 0 holds
+SMALL_RECEIVE_BUFFER_BYTES = 2048
+SMALL_SEGMENT_BYTES = 536  # the sender's buffer grows with the size of a segment
+
+
+class CongestedPeer(FakePeer):
+    """A party that can hold up connections, or what arrives on them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._fillers: list[socket.socket] = []
+        assert self.listener is not None
+        self.listener.setblocking(False)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER_BYTES)
+        self.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SMALL_SEGMENT_BYTES)
+
+    def hold_connections(self) -> None:
+        """Fill the accept queue: no further connection comes up."""
+        assert self.listener is not None
+        self.listener.listen(0)
+        for _ in range(FILLING_CONNECTIONS):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(self.address)
+            self._fillers.append(sock)
+
+    def let_connections_up(self) -> None:
+        """Empty the accept queue and accept connections again."""
+        assert self.listener is not None
+        for sock in self._fillers:
+            sock.close()
+        self._fillers.clear()
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                self.listener.accept()[0].close()
+        self.listener.listen(16)
+
+    def poll(self) -> None:
+        """Accept and read, unless connections are held."""
+        if not self._fillers:
+            super().poll()
+
+    def close_all(self) -> None:
+        """Close everything, at the end of a test."""
+        for sock in self._fillers:
+            sock.close()
+        super().close_all()
+
+
+class Congestion(ToolCalls):
+    """A tool-calls front whose writer and tool server can be held up."""
+
+    def __init__(self, folder: Path) -> None:
+        self.writer, self.tool = CongestedPeer(), CongestedPeer()
+        super().__init__(folder, writer=self.writer, tool=self.tool)
+
+    def watch(self, seconds: float) -> None:
+        """Run turns for so long in real time, with the router's clock standing still."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.turn(0.0, 0.01)
+
+    def let_arrive(self, party: CongestedPeer) -> None:
+        """Let everything arrive that the router still sends to a party."""
+        party.unread = False
+        party.let_connections_up()
+        if not party.connections:
+            self.watch(CONNECT_REPEAT_S)
+        heard = -1
+        while len(party.heard) > heard:
+            heard = len(party.heard)
+            self.watch(MARGIN_S)
+
+
+@pytest.fixture
+def scenario(tmp_path: Path) -> Iterator[Congestion]:
+    congestion = Congestion(tmp_path)
+    yield congestion
+    congestion.end()
+
+
+def read_prompt(scenario: Congestion, patience_ms: str = "9000", **more: str) -> None:
+    """A client's request is read, and the attempt at the writer begins."""
+    scenario.parties["client"].send(SAYINGS["ask"](left=patience_ms, **more))
+    scenario.play("reader expect chat/completions\nreader send read\nwait 0.03")
+
+
+def client_cancels(scenario: Congestion) -> None:
+    scenario.play("client send cancel id=1\nwait 0.01")
+
+
+def client_leaves(scenario: Congestion) -> None:
+    scenario.play("client close\nwait 0.01")
+
+
+def record_is_withdrawn(scenario: Congestion) -> None:
+    scenario.publish("reader", "tool")
+    scenario.front.reload()()
+
+
+def time_runs_out(scenario: Congestion) -> None:
+    scenario.play('wait 0.1\nclient expect "id":1,"error":{"code":-32001')
+
+
+@pytest.mark.parametrize("give_up", [client_cancels, client_leaves, record_is_withdrawn, time_runs_out])
+def test_an_attempt_given_up_while_connecting_is_never_sent(
+    scenario: Congestion, give_up: Callable[[Congestion], None]
+) -> None:
+    # Rule `duplicate`: it counted as never sent, but was sent once the connection came up, and ran twice.
+    scenario.writer.hold_connections()
+    read_prompt(scenario, "120" if give_up is time_runs_out else "9000")
+    give_up(scenario)
+    scenario.let_arrive(scenario.writer)
+    assert "chat/completions" not in scenario.writer.heard
--- a/tests/toolcalls_scenario.py
+++ b/tests/toolcalls_scenario.py
@@ -57,9 +57,10 @@
 class ToolCalls(Play):
     """A tool-calls front with a client, a reader, a writer and a tool server."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, **parties: FakePeer) -> None:
+        """`parties` replaces those that listen."""
         super().__init__(SAYINGS)
-        self.parties = {name: FakePeer() for name in ("reader", "writer", "tool")}
+        self.parties = {name: FakePeer() for name in ("reader", "writer", "tool")} | parties
         (folder / "settings.json").write_text(json.dumps(ENV))
         self.records = folder / "fleet.zone"
         self.publish("reader", "writer", "tool")
--- a/yewhook/toolcalls/peers.py
+++ b/yewhook/toolcalls/peers.py
@@ -52,6 +52,21 @@
         else:
             self.put_back(peer)
 
+    @staticmethod
+    def withdraw(peer: Peer, request_id: Id, reason: str) -> bool:
+        """Withdraw a request and end its connection; returns whether it had been written completely.
+
+        A request that waits for its connection is dropped. Flushing the send buffer would send it as soon as
+        the connection is up, though it counts as never sent.
+        """
+        written = peer.written
+        if peer.is_connected:
+            peer.cancel(request_id, reason)
+            PeerPool.close_gracefully(peer)
+        else:
+            peer.close()
+        return written
+
     @staticmethod
     def close_gracefully(peer: Peer) -> None:
         """Close a connection whose exchange was cancelled, after flushing its send buffer."""
--- a/yewhook/toolcalls/workers.py
+++ b/yewhook/toolcalls/workers.py
@@ -142,10 +142,7 @@
         self._cancel_tool_calls(reason)
         if peer is None:
             return False
-        written = peer.written
-        peer.cancel(self.rpc_id, reason)
-        self.workers.pool.close_gracefully(peer)
-        return written
+        return self.workers.pool.withdraw(peer, self.rpc_id, reason)
 
     def pause(self, paused: bool) -> None:
         """Pause or resume reading from the worker."""
