Tool calls: an attempt given up half written is not written to its end

Callers saw: a request that was refused as harmless to repeat ran, since its worker read on after the refusal.

Cause: the graceful close of a given-up attempt flushes the send buffer for up to 10 s; of a connection that is up this completes a request of which the worker had taken a part, while it counts as unsent_in_time, which never ran.

Evidence: a writer with a receive buffer of 2 KB takes 41 KB of 200 KB, the client is answered -32001, then the writer reads the rest of the request and the cancellation behind it; on a new and on a kept connection.

Change: PeerPool.withdraw closes at once unless the request is written completely, so its last byte can't leave.

--- a/tests/test_given_up_calls.py
+++ b/tests/test_given_up_calls.py
@@ -21,6 +21,7 @@
 FILLING_CONNECTIONS = 3  # more than an accept queue of length 0 holds
 SMALL_RECEIVE_BUFFER_BYTES = 2048
 SMALL_SEGMENT_BYTES = 536  # the sender's buffer grows with the size of a segment
+LARGE_PROMPT = "x" * 200_000  # more than the buffers of such a connection hold
 
 
 class CongestedPeer(FakePeer):
@@ -132,3 +133,28 @@
     give_up(scenario)
     scenario.let_arrive(scenario.writer)
     assert "chat/completions" not in scenario.writer.heard
+
+
+SERVED_BEFORE = """
+    client send ask
+    reader expect chat/completions
+    reader send read
+    writer expect chat/completions
+    writer send event text=x
+    writer send served
+    client expect "id":1,"result"
+"""
+
+
+@pytest.mark.parametrize("earlier", ["", SERVED_BEFORE], ids=["new connection", "kept connection"])
+def test_an_attempt_given_up_half_written_is_never_completed(scenario: Congestion, earlier: str) -> None:
+    # Rule `duplicate`: a refusal promised that nothing runs, and the rest of the request was written after it.
+    scenario.play(earlier)
+    scenario.writer.heard, scenario.writer.unread = "", True
+    number = 2 if earlier else 1
+    scenario.parties["client"].send(SAYINGS["ask"](id=str(number), left="120", messages=LARGE_PROMPT))
+    scenario.play(f"reader expect chat/completions\nreader send read id={number}")
+    scenario.play(f'wait 0.13\nclient expect "id":{number},"error":{{"code":-32001')
+    scenario.let_arrive(scenario.writer)
+    assert "chat/completions" in scenario.writer.heard and "\n" not in scenario.writer.heard
+    assert scenario.writer.connections == 1
--- a/yewhook/toolcalls/peers.py
+++ b/yewhook/toolcalls/peers.py
@@ -56,16 +56,15 @@
     def withdraw(peer: Peer, request_id: Id, reason: str) -> bool:
         """Withdraw a request and end its connection; returns whether it had been written completely.
 
-        A request that waits for its connection is dropped. Flushing the send buffer would send it as soon as
-        the connection is up, though it counts as never sent.
+        A request that is not written completely counts as never sent, so the rest of it is dropped. Flushing
+        the send buffer would complete it as soon as the connection is up or the other end reads on.
         """
-        written = peer.written
-        if peer.is_connected:
-            peer.cancel(request_id, reason)
-            PeerPool.close_gracefully(peer)
-        else:
+        if not peer.written:
             peer.close()
-        return written
+            return False
+        peer.cancel(request_id, reason)
+        PeerPool.close_gracefully(peer)
+        return True
 
     @staticmethod
     def close_gracefully(peer: Peer) -> None:
