Tool calls: a call to a tool that is given up is not made later

Callers saw: a tool could run up to 10 s after its call was withdrawn, its client had left or the worker had been answered that it did not answer in time; a worker that calls again has it run twice.

Cause: ToolCall.cancel, and its handling of a time-out, closed the connection gracefully, which sends a call that waits for its connection and completes one that is half written.

Evidence: a tool server with a full accept queue got tools/call 1.0 s after the connect, one that had stopped reading got the rest of it, each behind the answer to the worker.

Change: a tool call has one deadline of its own, which covers all its servers, and ends by PeerPool.withdraw. A call for which no server is left is logged as failed, too.

--- a/tests/test_given_up_calls.py
+++ b/tests/test_given_up_calls.py
@@ -14,7 +14,7 @@
 
 import pytest
 from scenario import FakePeer
-from toolcalls_scenario import SAYINGS, ToolCalls
+from toolcalls_scenario import SAYINGS, STREAM_STARTED, ToolCalls
 
 CONNECT_REPEAT_S = 1.0  # after which the kernel repeats a connection request; real time
 MARGIN_S = 0.4  # real time without a byte, after which nothing more is on its way
@@ -176,3 +176,51 @@
     scenario.until(lambda: not scenario.front.releases.busy, "the end of the release")
     scenario.let_arrive(scenario.reader)
     assert "reservations/release" not in scenario.reader.heard
+
+
+def tool_call_is_withdrawn(scenario: Congestion) -> None:
+    scenario.play("writer send cancel id=7\nclient expect tool_result")
+
+
+def tool_call_times_out(scenario: Congestion) -> None:
+    scenario.play('wait 0.1\nwriter expect "id":7,"error":{"code":-32003')
+
+
+def set_tool_deadline(scenario: Congestion, seconds: float) -> None:
+    """Shorten the time for tool calls by a new configuration."""
+    file = scenario.records.with_name("toolcalls.toml")
+    file.write_text(file.read_text().replace("tool_deadline_s = 2", f"tool_deadline_s = {seconds}"))
+    scenario.front.reload()()
+
+
+GIVE_UP_TOOL_CALL = [tool_call_is_withdrawn, tool_call_times_out, client_leaves]
+
+
+@pytest.mark.parametrize("give_up", GIVE_UP_TOOL_CALL)
+def test_a_tool_call_given_up_while_connecting_is_never_made(
+    scenario: Congestion, give_up: Callable[[Congestion], None]
+) -> None:
+    # A tool with side effects ran a second after its call had been withdrawn or answered as failed.
+    set_tool_deadline(scenario, 0.1)
+    scenario.tool.hold_connections()
+    scenario.play(STREAM_STARTED + "writer send call\nclient expect notifications/tool_call")
+    give_up(scenario)
+    scenario.let_arrive(scenario.tool)
+    assert "tools/call" not in scenario.tool.heard
+
+
+@pytest.mark.parametrize("give_up", GIVE_UP_TOOL_CALL)
+def test_a_tool_call_given_up_half_written_is_never_completed(
+    scenario: Congestion, give_up: Callable[[Congestion], None]
+) -> None:
+    # The same on a connection that is up: a tool server that read on afterwards got the whole call.
+    set_tool_deadline(scenario, 0.1)
+    scenario.tool.unread = True
+    scenario.play(STREAM_STARTED)
+    scenario.writer.send(SAYINGS["call"](meta=LARGE_PROMPT))
+    scenario.play("client expect notifications/tool_call")
+    scenario.until(lambda: scenario.tool.connections == 1, "a connection to the tool server")
+    scenario.turn()
+    give_up(scenario)
+    scenario.let_arrive(scenario.tool)
+    assert "tools/call" in scenario.tool.heard and "\n" not in scenario.tool.heard
--- a/yewhook/toolcalls/tools.py
+++ b/yewhook/toolcalls/tools.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from ..dnssd import ServiceInstance, order_instances
-from ..jsonrpc import Code, ConnectionLost, Id, Peer, RpcError
-from ..loop import Loop
+from ..jsonrpc import Code, ConnectionLost, Id, Peer, RequestTimedOut, RpcError
+from ..loop import Loop, Timer
 from .endings import tool_call_error
 from .peers import PeerPool
 
@@ -30,12 +30,17 @@
         self.tools, self.params, self.name = tools, params, str(params["name"])
         self._callback = callback
         self._untried = tools.offering(self.name)
-        self._deadline = tools.loop.now + tools.call_timeout_s
+        self._timer = Timer(tools.loop)
         self._peer: Peer | None = None
         self._request_id: Id = 0
         self._finished = False
 
-    def try_next_server(self) -> None:
+    def begin(self) -> None:
+        """Start the deadline, which also covers connecting, and send the call."""
+        self._timer.set(self.tools.call_timeout_s, self._timed_out)
+        self._try_next_server()
+
+    def _try_next_server(self) -> None:
         """Send the call to the next server that can be connected to; fail with TOOL_GONE if none is left."""
         while self._untried:
             server = self._untried.pop(0)
@@ -45,8 +50,7 @@
                 self.tools.loop.log("no connection to a tool server", f"{server.name}: {error}")
                 continue
             self._peer = peer
-            timeout = max(0.001, self._deadline - self.tools.loop.now)
-            self._request_id = peer.ask("tools/call", self.params, self._response_received, timeout)
+            self._request_id = peer.ask("tools/call", self.params, self._response_received)
             return
         self._finish(None, RpcError(Code.TOOL_GONE, f"no server for tool {self.name!r}"))
 
@@ -55,27 +59,35 @@
             return
         peer, self._peer = self._peer, None
         if isinstance(error, ConnectionLost) and not error.sent:
-            return self.try_next_server()
-        # After a timeout a late response could still arrive, so the connection is not used again.
+            return self._try_next_server()
         reusable = error is None or error.__class__ is RpcError
         self.tools.pool.give_back(peer) if reusable else self.tools.pool.close_gracefully(peer)
-        if error is not None:
-            error = tool_call_error(error, self.name)
-            self.tools.loop.log("tool call failed", f"{error.code} {error.message}")
-        return self._finish(result, error)
+        return self._finish(result, None if error is None else tool_call_error(error, self.name))
+
+    def _timed_out(self) -> None:
+        self._withdraw("timed out")
+        self._finish(None, tool_call_error(RequestTimedOut(), self.name))
 
     def _finish(self, result: Any, error: RpcError | None) -> None:
-        if not self._finished:
-            self._finished = True
-            self._callback(result, error)
+        if self._finished:
+            return
+        self._finished = True
+        self._timer.cancel()
+        if error is not None:
+            self.tools.loop.log("tool call failed", f"{error.code} {error.message}")
+        self._callback(result, error)
 
     def cancel(self, reason: str) -> None:
         """Cancel the call at its tool server; the callback is not called any more."""
         self._finished = True
-        if self._peer is not None:
-            self._peer.cancel(self._request_id, reason)
-            self.tools.pool.close_gracefully(self._peer)
-            self._peer = None
+        self._timer.cancel()
+        self._withdraw(reason)
+
+    def _withdraw(self, reason: str) -> None:
+        """End the connection of the call: a late response must not be taken for that of another one."""
+        peer, self._peer = self._peer, None
+        if peer is not None:
+            self.tools.pool.withdraw(peer, self._request_id, reason)
 
 
 class ToolServers:
@@ -100,5 +112,5 @@
     def call(self, params: dict[str, Any], callback: ToolCallback) -> ToolCall:
         """Start a call; the callback may run before this returns."""
         call = ToolCall(self, params, callback)
-        call.try_next_server()
+        call.begin()
         return call
