JSON-RPC: a request counts as written by its own bytes, not by those behind it

Callers saw: a service-log request ran at two workers (in a test; not reported from service).

Cause: Peer.written told whether everything sent on the connection had been written. Answers and tool results that a worker does not read made a request that it had whole count as unsent, so that it never ran and was sent to the next worker.

Evidence: a writer takes a request, sends 30 requests of its own, reads no answer and resets the connection: the attempt ended with broken_unsent and the second writer got the request.

Change: Channel counts the bytes that the kernel has taken, and each open request knows its end among them.

--- a/tests/test_given_up_calls.py
+++ b/tests/test_given_up_calls.py
@@ -14,7 +14,7 @@
 
 import pytest
 from scenario import FakePeer
-from toolcalls_scenario import SAYINGS, STREAM_STARTED, ToolCalls
+from toolcalls_scenario import SAYINGS, STREAM_STARTED, ToolCalls, message
 
 CONNECT_REPEAT_S = 1.0  # after which the kernel repeats a connection request; real time
 MARGIN_S = 0.4  # real time without a byte, after which nothing more is on its way
@@ -224,3 +224,23 @@
     give_up(scenario)
     scenario.let_arrive(scenario.tool)
     assert "tools/call" in scenario.tool.heard and "\n" not in scenario.tool.heard
+
+
+UNKNOWN_REQUESTS = 30
+UNKNOWN_REQUEST_ID_BYTES = 4000  # each answer has its id
+
+
+def test_a_written_attempt_may_have_run_whatever_is_unwritten_behind_it(scenario: Congestion) -> None:
+    # Rule `duplicate`: it counted as unsent for answers that its worker did not read, and ran once more.
+    scenario.parties["writer2"] = FakePeer()
+    read_prompt(scenario)
+    scenario.play("writer expect chat/completions")
+    scenario.writer.unread = True
+    for number in range(UNKNOWN_REQUESTS):
+        name = f"{number}".zfill(UNKNOWN_REQUEST_ID_BYTES)
+        scenario.writer.send(message(id=name, method="logging/setLevel"))
+        scenario.turn()
+    scenario.publish("reader", "writer2", "tool")
+    scenario.front.reload()()
+    scenario.play('writer reset\nclient expect "id":1,"error":{"code":-32002\nwait 0.1')
+    assert "chat/completions" not in scenario.parties["writer2"].heard
--- a/tests/toolcalls_scenario.py
+++ b/tests/toolcalls_scenario.py
@@ -78,7 +78,7 @@
 
     def publish(self, *names: str) -> None:
         """Write the records of these workers and tool servers; tool servers get falling priority."""
-        kinds = {"reader": "prefill", "writer": "decode"}
+        kinds = {"reader": "prefill", "writer": "decode", "writer2": "decode"}
         texts = {name: {"id": name, "kind": kinds[name], "zone": "hall-a", "cell": "1"} for name in kinds}
         workers = [ServiceInstance(n, self.parties[n].address, texts=texts[n]) for n in names if n in texts]
         tools = [
--- a/yewhook/channel.py
+++ b/yewhook/channel.py
@@ -51,6 +51,7 @@
         self._sock, self._connecting = sock, connecting
         self._unsent = bytearray()
         self._closed_with_unsent = False
+        self.sent_bytes = 0  # that the kernel has taken since the beginning
         self.paused = self._finishing = False
         self._accepted = not connecting
         self._send_fails_since: float | None = None  # the loop's clock, where the last attempt failed
@@ -216,6 +217,7 @@
         except OSError as error:
             return self._send_failed(error)
         self._send_fails_since = None
+        self.sent_bytes += sent
         del self._unsent[:sent]
         self._watch()
         if self._unsent:
--- a/yewhook/jsonrpc.py
+++ b/yewhook/jsonrpc.py
@@ -98,6 +98,7 @@
 class _PendingRequest:
     reply: Reply
     timer: Deadline | None
+    end: int  # its end among the bytes that are sent on the connection
 
 
 def encode_message(message: dict[str, Any]) -> bytes:
@@ -162,10 +163,13 @@
         """Whether received data waits in the socket."""
         return self.channel.unread
 
-    @property
-    def written(self) -> bool:
-        """Whether the connection is established and everything sent so far has been written to it."""
-        return self.is_connected and self.channel.written
+    def has_written(self, request_id: Id) -> bool:
+        """Whether the last byte of an open request has been written; what follows it may still be unsent."""
+        pending = self._pending.get(request_id)
+        return pending is not None and self._is_written(pending)
+
+    def _is_written(self, pending: _PendingRequest) -> bool:
+        return self.channel.sent_bytes >= pending.end
 
     # ---- outgoing requests ----
 
@@ -181,13 +185,15 @@
             timer = self.loop.deadlines.set(
                 self.loop.now + timeout, lambda: self._request_timed_out(request_id)
             )
-        self._pending[request_id] = _PendingRequest(reply, timer)
-        self._send({"id": request_id, "method": method, "params": params})
+        data = encode_message({"id": request_id, "method": method, "params": params})
+        end = self.channel.sent_bytes + self.channel.unsent + len(data)
+        self._pending[request_id] = _PendingRequest(reply, timer, end)
+        self._send(data)
         return request_id
 
     def notify(self, method: str, params: dict[str, Any]) -> None:
         """Send a message that expects no response."""
-        self._send({"method": method, "params": params})
+        self._send(encode_message({"method": method, "params": params}))
 
     def cancel(self, request_id: Id, reason: str) -> None:
         """Cancel a request as the Model Context Protocol does; a late response is ignored."""
@@ -206,16 +212,16 @@
         """Respond to a request with its result."""
         self.open_requests.discard(request_id)
         self.idle_since = self.loop.now
-        self._send({"id": request_id, "result": result})
+        self._send(encode_message({"id": request_id, "result": result}))
 
     def error(self, request_id: Id | None, error: RpcError) -> None:
         """Respond with an error; the id is None where the id of the request is unknown."""
         if request_id is not None:
             self.open_requests.discard(request_id)
-        self._send({"id": request_id, "error": error.as_object()})
+        self._send(encode_message({"id": request_id, "error": error.as_object()}))
 
-    def _send(self, message: dict[str, Any]) -> None:
-        self.channel.send(encode_message(message))
+    def _send(self, data: bytes) -> None:
+        self.channel.send(data)
         if self.channel.unsent > MAX_UNSENT_BYTES:
             return self._abort()
         if self.channel.unsent > SLOW_PEER_BYTES and not self._slow:
@@ -276,7 +282,8 @@
         pending, self._pending = self._pending, {}
         for request in pending.values():
             self.loop.deadlines.cancel(request.timer)
-            request.reply(None, ConnectionLost(self.written, self.is_connected, closed_cleanly))
+            sent = self._is_written(request)
+            request.reply(None, ConnectionLost(sent, self.is_connected, closed_cleanly))
         self.handler.gone(self)
 
     def _handle_message(self, line: bytes) -> None:
--- a/yewhook/toolcalls/peers.py
+++ b/yewhook/toolcalls/peers.py
@@ -59,7 +59,7 @@
         A request that is not written completely counts as never sent, so the rest of it is dropped. Flushing
         the send buffer would complete it as soon as the connection is up or the other end reads on.
         """
-        if not peer.written:
+        if not peer.has_written(request_id):
             peer.close()
             return False
         peer.cancel(request_id, reason)
