JSON-RPC: a half-written request is not completed after its peer broke the protocol

Callers saw: a service-log request, or a tool, ran at two servers (in tests; not reported from service).

Cause: where a peer's message is too long or comes too slowly, Peer.close_gracefully fails the open requests as unsent, so that they are sent elsewhere, and flushes the send buffer with the rest of them.

Evidence: a writer, and a tool server, that took a part of 200 KB and sent a line of over 512 KiB got the whole request once they read on, after the next one had got it.

Change: the connection is closed at once while an open request is not written completely.

--- a/tests/test_given_up_calls.py
+++ b/tests/test_given_up_calls.py
@@ -16,8 +16,12 @@
 from scenario import FakePeer
 from toolcalls_scenario import SAYINGS, STREAM_STARTED, ToolCalls, message
 
+from yewhook.channel import READ_SIZE_BYTES
+from yewhook.jsonrpc import MAX_MESSAGE_BYTES
+
 CONNECT_REPEAT_S = 1.0  # after which the kernel repeats a connection request; real time
 MARGIN_S = 0.4  # real time without a byte, after which nothing more is on its way
+MAX_SEND_S = 5.0  # real time
 FILLING_CONNECTIONS = 3  # more than an accept queue of length 0 holds
 SMALL_RECEIVE_BUFFER_BYTES = 2048
 SMALL_SEGMENT_BYTES = 536  # the sender's buffer grows with the size of a segment
@@ -46,6 +50,14 @@
             sock.connect_ex(self.address)
             self._fillers.append(sock)
 
+    def send_part(self, data: bytes) -> int:
+        """Send as much as the connection takes now; returns the number of bytes."""
+        assert self.sock is not None
+        try:
+            return self.sock.send(data)
+        except OSError:  # the buffer is full, or the router has closed the connection
+            return 0
+
     @property
     def holds_connections(self) -> bool:
         """Whether the accept queue is full."""
@@ -88,6 +100,14 @@
         while time.monotonic() < end:
             self.turn(0.0, 0.01)
 
+    def send_too_much(self, party: CongestedPeer) -> None:
+        """Send a message that is too long, as far as the router takes it."""
+        unsent = b"x" * (MAX_MESSAGE_BYTES + 2 * READ_SIZE_BYTES)
+        end = time.monotonic() + MAX_SEND_S
+        while unsent and time.monotonic() < end:
+            unsent = unsent[party.send_part(unsent) :]
+            self.turn(0.0, 0.001)
+
     def let_arrive(self, party: CongestedPeer) -> None:
         """Let everything arrive that the router still sends to a party."""
         party.unread = False
@@ -244,3 +264,32 @@
     scenario.front.reload()()
     scenario.play('writer reset\nclient expect "id":1,"error":{"code":-32002\nwait 0.1')
     assert "chat/completions" not in scenario.parties["writer2"].heard
+
+
+def test_an_attempt_is_never_completed_after_its_worker_broke_the_protocol(scenario: Congestion) -> None:
+    # Rule `duplicate`: a request ran at two workers, since the first got the rest after it was given up.
+    scenario.parties["writer2"] = FakePeer()
+    scenario.writer.unread = True
+    read_prompt(scenario, messages=LARGE_PROMPT)
+    scenario.publish("reader", "writer2", "tool")
+    scenario.front.reload()()
+    scenario.send_too_much(scenario.writer)
+    scenario.play("writer2 expect chat/completions")
+    scenario.let_arrive(scenario.writer)
+    assert "chat/completions" in scenario.writer.heard and "\n" not in scenario.writer.heard
+
+
+def test_a_tool_call_is_never_completed_after_its_server_broke_the_protocol(scenario: Congestion) -> None:
+    # A tool ran at two servers, since the first was written the rest of the call after the next one had it.
+    scenario.parties["tool2"] = FakePeer()
+    scenario.publish("reader", "writer", "tool", "tool2")
+    scenario.front.reload()()
+    scenario.tool.unread = True
+    scenario.play(STREAM_STARTED)
+    scenario.writer.send(SAYINGS["call"](meta=LARGE_PROMPT))
+    scenario.play("client expect notifications/tool_call")
+    scenario.until(lambda: scenario.tool.connections == 1, "a connection to the tool server")
+    scenario.send_too_much(scenario.tool)
+    scenario.play("tool2 expect tools/call")
+    scenario.let_arrive(scenario.tool)
+    assert "tools/call" in scenario.tool.heard and "\n" not in scenario.tool.heard
--- a/yewhook/jsonrpc.py
+++ b/yewhook/jsonrpc.py
@@ -262,10 +262,18 @@
         self.close_gracefully()
 
     def close_gracefully(self) -> None:
-        """Flush the send buffer and close; the handler is told that the peer is gone."""
-        if not self.channel.closed:
+        """Flush the send buffer and close; the handler is told that the peer is gone.
+
+        If a request is not written completely, the connection is closed at once: the request fails as unsent,
+        so the rest of it must not be flushed.
+        """
+        if self.channel.closed:
+            return
+        if all(self._is_written(pending) for pending in self._pending.values()):
             self.channel.finish()
-            self._connection_ended(True)
+        else:
+            self.channel.abort()
+        self._connection_ended(True)
 
     def close(self) -> None:
         """Close at once and drop pending requests; neither their callbacks nor the handler are called."""
