Tool calls: a connection that is being closed is not kept for the next call

Callers saw: requests failed or came late at a worker that answers well: an attempt on such a connection is never written, counts as written and times out (in a test; not reported from service).

Cause: Peer.close_gracefully, after a message that is too long or too slow, reports the loss to the exchange, which gives the connection back to the pool; the pool kept it, since it is closed only after the other end, 1 s later at most.

Evidence: after a line of over 512 KiB PeerPool.acquire returned the same connection, and the release call on it never arrived.

Change: PeerPool.give_back keeps only connections on which bytes can still be sent.

Result: test_a_connection_that_is_being_closed_is_not_used_again failed before and passes; the front's other tests pass.

--- a/tests/test_given_up_calls.py
+++ b/tests/test_given_up_calls.py
@@ -18,6 +18,7 @@
 
 from yewhook.channel import READ_SIZE_BYTES
 from yewhook.jsonrpc import MAX_MESSAGE_BYTES
+from yewhook.toolcalls.peers import PeerPool
 
 CONNECT_REPEAT_S = 1.0  # after which the kernel repeats a connection request; real time
 MARGIN_S = 0.4  # real time without a byte, after which nothing more is on its way
@@ -293,3 +294,16 @@
     scenario.play("tool2 expect tools/call")
     scenario.let_arrive(scenario.tool)
     assert "tools/call" in scenario.tool.heard and "\n" not in scenario.tool.heard
+
+
+def test_a_connection_that_is_being_closed_is_not_used_again(scenario: Congestion) -> None:
+    # The next call on it counted as written, though nothing was, and its worker never answered.
+    pool = PeerPool(scenario.service.loop, lambda: True, 0.25, 30.0)
+    first = pool.acquire(scenario.reader.address)
+    first.ask("chat/completions", {}, lambda result, error: pool.give_back(first))
+    scenario.play("reader expect chat/completions")
+    scenario.send_too_much(scenario.reader)
+    scenario.watch(MARGIN_S)
+    second = pool.acquire(scenario.reader.address)
+    second.ask("reservations/release", {}, lambda result, error: None)
+    scenario.play("reader expect reservations/release")
--- a/yewhook/channel.py
+++ b/yewhook/channel.py
@@ -85,6 +85,11 @@
         """Whether all bytes have been handed to the kernel; after a close, as it was then."""
         return not self._unsent and not self._closed_with_unsent
 
+    @property
+    def is_open(self) -> bool:
+        """Whether bytes can still be sent: it is neither closed nor being finished."""
+        return not self.closed and not self._finishing
+
     @property
     def unread(self) -> bool:
         """Whether bytes, or the end of the stream, wait to be read; an idle connection is unusable then."""
@@ -107,7 +112,7 @@
 
     def send(self, data: bytes) -> None:
         """Send bytes, or buffer them; ignored once the channel is closed or being finished."""
-        if self.closed or self._finishing:
+        if not self.is_open:
             return
         self._unsent += data
         if not self._connecting:
@@ -121,7 +126,7 @@
 
     def finish(self) -> None:
         """Close once all is written and the peer has closed too, or after the timeouts."""
-        if self.closed or self._finishing:
+        if not self.is_open:
             return
         self._finishing, self.paused = True, False
         self.loop.finishing += 1
--- a/yewhook/toolcalls/peers.py
+++ b/yewhook/toolcalls/peers.py
@@ -45,7 +45,7 @@
     def give_back(self, peer: Peer) -> None:
         """Return a connection after its exchange; it is closed if a request is open or data is unsent."""
         peer.handler = IDLE_PEER_HANDLER
-        if peer.channel.closed:
+        if not peer.channel.is_open:
             return
         if peer.open_requests or peer.channel.unsent:
             peer.close_gracefully()
