Tool calls: a half-written request is not completed after its worker answered it

Callers saw: a service-log request ran at two workers, where the first had turned it away before it had read the whole request (in a test; not reported from service).

Cause: PeerPool.give_back closed a connection with unsent data gracefully, which writes the rest of the request.

Evidence: a writer that took a part of 200 KB answered -32010, the next writer got the request, then the first one got its rest. The platform front closes such a connection at once.

Change: unsent data is dropped with the connection when its exchange has ended.

Result: test_an_attempt_is_never_completed_after_its_worker_turned_it_away failed before and passes; 55 tests pass.

--- a/tests/test_given_up_calls.py
+++ b/tests/test_given_up_calls.py
@@ -296,6 +296,18 @@
     assert "tools/call" in scenario.tool.heard and "\n" not in scenario.tool.heard
 
 
+def test_an_attempt_is_never_completed_after_its_worker_turned_it_away(scenario: Congestion) -> None:
+    # Rule `duplicate`: a worker that answered before it had read the request got the rest of it, too.
+    scenario.parties["writer2"] = FakePeer()
+    scenario.writer.unread = True
+    read_prompt(scenario, messages=LARGE_PROMPT)
+    scenario.publish("reader", "writer2", "tool")
+    scenario.front.reload()()
+    scenario.play("writer send error id=1 code=-32010\nwriter2 expect chat/completions")
+    scenario.let_arrive(scenario.writer)
+    assert "chat/completions" in scenario.writer.heard and "\n" not in scenario.writer.heard
+
+
 def test_a_connection_that_is_being_closed_is_not_used_again(scenario: Congestion) -> None:
     # The next call on it counted as written, though nothing was, and its worker never answered.
     pool = PeerPool(scenario.service.loop, lambda: True, 0.25, 30.0)
--- a/yewhook/toolcalls/peers.py
+++ b/yewhook/toolcalls/peers.py
@@ -43,11 +43,16 @@
         super().__init__(loop, can_open, idle_limit, connect)
 
     def give_back(self, peer: Peer) -> None:
-        """Return a connection after its exchange; it is closed if a request is open or data is unsent."""
+        """Return a connection after its exchange; it is closed if a request is open or data is unsent.
+
+        Unsent data is dropped: it belongs to the exchange that has ended, and may be a part of its request.
+        """
         peer.handler = IDLE_PEER_HANDLER
         if not peer.channel.is_open:
             return
-        if peer.open_requests or peer.channel.unsent:
+        if peer.channel.unsent:
+            peer.close()
+        elif peer.open_requests:
             peer.close_gracefully()
         else:
             self.put_back(peer)
