Platform front: tests that a call given up before its last byte never arrives later

Cause: the tool-calls front sent calls that had been given up; the same paths of the platform front had no such test.

Change: tests/test_given_up_attempts.py gives attempts and releases up while they connect and half written, on real connections; the party whose connections are held up is tests/congested_peer.py, which both fronts' tests use. No change of the program: its connections are closed at once.

--- a/tests/test_given_up_calls.py
+++ b/tests/test_given_up_calls.py
@@ -1,18 +1,14 @@
-"""Calls of the tool-calls front that are given up before their last byte is written: none may arrive later.
-
-Connections are held up by the kernel: a full accept queue, whose connections come up only when the kernel
-repeats the connection request, and a receiver with little room that does not read.
-"""
+"""Calls of the tool-calls front that are given up before their last byte is written never arrive later."""
 
 from __future__ import annotations
 
 import contextlib
-import socket
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
+from congested_peer import LARGE_PROMPT, MARGIN_S, CongestedPeer, let_arrive, watch
 from scenario import FakePeer
 from toolcalls_scenario import SAYINGS, STREAM_STARTED, ToolCalls, message
 
@@ -20,71 +16,7 @@
 from yewhook.jsonrpc import MAX_MESSAGE_BYTES
 from yewhook.toolcalls.peers import PeerPool
 
-CONNECT_REPEAT_S = 1.0  # after which the kernel repeats a connection request; real time
-MARGIN_S = 0.4  # real time without a byte, after which nothing more is on its way
 MAX_SEND_S = 5.0  # real time
-FILLING_CONNECTIONS = 3  # more than an accept queue of length 0 holds
-SMALL_RECEIVE_BUFFER_BYTES = 2048
-SMALL_SEGMENT_BYTES = 536  # the sender's buffer grows with the size of a segment
-LARGE_PROMPT = "x" * 200_000  # more than the buffers of such a connection hold
-
-
-class CongestedPeer(FakePeer):
-    """A party that can hold up connections, or what arrives on them."""
-
-    def __init__(self, small_buffers: bool = False) -> None:
-        super().__init__()
-        self._fillers: list[socket.socket] = []
-        assert self.listener is not None
-        self.listener.setblocking(False)
-        if small_buffers:
-            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER_BYTES)
-            self.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SMALL_SEGMENT_BYTES)
-
-    def hold_connections(self) -> None:
-        """Fill the accept queue: no further connection comes up."""
-        assert self.listener is not None
-        self.listener.listen(0)
-        for _ in range(FILLING_CONNECTIONS):
-            sock = socket.socket()
-            sock.setblocking(False)
-            sock.connect_ex(self.address)
-            self._fillers.append(sock)
-
-    def send_part(self, data: bytes) -> int:
-        """Send as much as the connection takes now; returns the number of bytes."""
-        assert self.sock is not None
-        try:
-            return self.sock.send(data)
-        except OSError:  # the buffer is full, or the router has closed the connection
-            return 0
-
-    @property
-    def holds_connections(self) -> bool:
-        """Whether the accept queue is full."""
-        return bool(self._fillers)
-
-    def let_connections_up(self) -> None:
-        """Empty the accept queue and accept connections again."""
-        assert self.listener is not None
-        for sock in self._fillers:
-            sock.close()
-        self._fillers.clear()
-        with contextlib.suppress(BlockingIOError):
-            while True:
-                self.listener.accept()[0].close()
-        self.listener.listen(16)
-
-    def poll(self) -> None:
-        """Accept and read, unless connections are held."""
-        if not self.holds_connections:
-            super().poll()
-
-    def close_all(self) -> None:
-        """Close everything, at the end of a test."""
-        for sock in self._fillers:
-            sock.close()
-        super().close_all()
 
 
 class Congestion(ToolCalls):
@@ -95,30 +27,16 @@
         self.writer, self.tool = CongestedPeer(small_buffers=True), CongestedPeer(small_buffers=True)
         super().__init__(folder, reader=self.reader, writer=self.writer, tool=self.tool)
 
-    def watch(self, seconds: float) -> None:
-        """Run turns for so long in real time, with the router's clock standing still."""
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            self.turn(0.0, 0.01)
-
-    def send_too_much(self, party: CongestedPeer) -> None:
-        """Send a message that is too long, as far as the router takes it."""
-        unsent = b"x" * (MAX_MESSAGE_BYTES + 2 * READ_SIZE_BYTES)
-        end = time.monotonic() + MAX_SEND_S
-        while unsent and time.monotonic() < end:
-            unsent = unsent[party.send_part(unsent) :]
-            self.turn(0.0, 0.001)
-
-    def let_arrive(self, party: CongestedPeer) -> None:
-        """Let everything arrive that the router still sends to a party."""
-        party.unread = False
-        if party.holds_connections:
-            party.let_connections_up()
-            self.watch(CONNECT_REPEAT_S)
-        heard = -1
-        while len(party.heard) > heard:
-            heard = len(party.heard)
-            self.watch(MARGIN_S)
+
+def send_too_much(scenario: Congestion, party: CongestedPeer) -> None:
+    """Send a message that is too long, as far as the router takes it."""
+    assert party.sock is not None
+    unsent = b"x" * (MAX_MESSAGE_BYTES + 2 * READ_SIZE_BYTES)
+    end = time.monotonic() + MAX_SEND_S
+    while unsent and time.monotonic() < end:
+        with contextlib.suppress(OSError):  # the buffer is full, or the router has closed the connection
+            unsent = unsent[party.sock.send(unsent) :]
+        scenario.turn(0.0, 0.001)
 
 
 @pytest.fixture
@@ -159,7 +77,7 @@
     scenario.writer.hold_connections()
     read_prompt(scenario, "120" if give_up is time_runs_out else "9000")
     give_up(scenario)
-    scenario.let_arrive(scenario.writer)
+    let_arrive(scenario, scenario.writer)
     assert "chat/completions" not in scenario.writer.heard
 
 
@@ -183,7 +101,7 @@
     scenario.parties["client"].send(SAYINGS["ask"](id=str(number), left="120", messages=LARGE_PROMPT))
     scenario.play(f"reader expect chat/completions\nreader send read id={number}")
     scenario.play(f'wait 0.13\nclient expect "id":{number},"error":{{"code":-32001')
-    scenario.let_arrive(scenario.writer)
+    let_arrive(scenario, scenario.writer)
     assert "chat/completions" in scenario.writer.heard and "\n" not in scenario.writer.heard
     assert scenario.writer.connections == 1
 
@@ -195,7 +113,7 @@
     scenario.play("client send cancel id=1\nwriter expect reservations/release")  # asked after the reader
     scenario.play("writer send ok")
     scenario.until(lambda: not scenario.front.releases.busy, "the end of the release")
-    scenario.let_arrive(scenario.reader)
+    let_arrive(scenario, scenario.reader)
     assert "reservations/release" not in scenario.reader.heard
 
 
@@ -226,7 +144,7 @@
     scenario.tool.hold_connections()
     scenario.play(STREAM_STARTED + "writer send call\nclient expect notifications/tool_call")
     give_up(scenario)
-    scenario.let_arrive(scenario.tool)
+    let_arrive(scenario, scenario.tool)
     assert "tools/call" not in scenario.tool.heard
 
 
@@ -243,7 +161,7 @@
     scenario.until(lambda: scenario.tool.connections == 1, "a connection to the tool server")
     scenario.turn()
     give_up(scenario)
-    scenario.let_arrive(scenario.tool)
+    let_arrive(scenario, scenario.tool)
     assert "tools/call" in scenario.tool.heard and "\n" not in scenario.tool.heard
 
 
@@ -274,9 +192,9 @@
     read_prompt(scenario, messages=LARGE_PROMPT)
     scenario.publish("reader", "writer2", "tool")
     scenario.front.reload()()
-    scenario.send_too_much(scenario.writer)
+    send_too_much(scenario, scenario.writer)
     scenario.play("writer2 expect chat/completions")
-    scenario.let_arrive(scenario.writer)
+    let_arrive(scenario, scenario.writer)
     assert "chat/completions" in scenario.writer.heard and "\n" not in scenario.writer.heard
 
 
@@ -290,9 +208,9 @@
     scenario.writer.send(SAYINGS["call"](meta=LARGE_PROMPT))
     scenario.play("client expect notifications/tool_call")
     scenario.until(lambda: scenario.tool.connections == 1, "a connection to the tool server")
-    scenario.send_too_much(scenario.tool)
+    send_too_much(scenario, scenario.tool)
     scenario.play("tool2 expect tools/call")
-    scenario.let_arrive(scenario.tool)
+    let_arrive(scenario, scenario.tool)
     assert "tools/call" in scenario.tool.heard and "\n" not in scenario.tool.heard
 
 
@@ -304,7 +222,7 @@
     scenario.publish("reader", "writer2", "tool")
     scenario.front.reload()()
     scenario.play("writer send error id=1 code=-32010\nwriter2 expect chat/completions")
-    scenario.let_arrive(scenario.writer)
+    let_arrive(scenario, scenario.writer)
     assert "chat/completions" in scenario.writer.heard and "\n" not in scenario.writer.heard
 
 
@@ -314,8 +232,8 @@
     first = pool.acquire(scenario.reader.address)
     first.ask("chat/completions", {}, lambda result, error: pool.give_back(first))
     scenario.play("reader expect chat/completions")
-    scenario.send_too_much(scenario.reader)
-    scenario.watch(MARGIN_S)
+    send_too_much(scenario, scenario.reader)
+    watch(scenario, MARGIN_S)
     second = pool.acquire(scenario.reader.address)
     second.ask("reservations/release", {}, lambda result, error: None)
     scenario.play("reader expect reservations/release")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -83,15 +83,18 @@
         routers: int = 1,
         wait_for_list: bool = True,
         env: dict[str, Any] | None = None,
+        workers: dict[str, FakePeer] | None = None,
     ) -> None:
         """Start a front on loopback with a worker for each entry of `fleet`.
 
-        `wait_for_list` says that the router has waited for discovery's first list; `env` overrides settings.
+        `wait_for_list` says that the router has waited for discovery's first list; `env` overrides settings,
+        and `workers` replaces some of the workers.
         """
         super().__init__(SAYINGS | {"list": self.listed})
         settings, names = parse_settings(ENV | {"instances": routers} | (env or {}))
         self.fleet = dict(fleet)  # tests may add to it
         self.parties = {name: FakePeer() for name in fleet} | {"discovery": FakePeer(keep_connections=True)}
+        self.parties |= workers or {}
         self.config = config = Config(
             "test", ("127.0.0.1", 0), self.parties["discovery"].address, 7, settings, names,
             Limits(1024), 0.25, 30.0,
