Known failures: entries name command and seed, and may be commands

Cause: an entry had no command to see the failure by, and failures that no pytest test shows could not be listed.

Change: entries are `test or command | command and seed | what was seen | issue`. A command is printed at the head of the run and permits no failure; a listed test that no whole run finds, a test listed twice and more than three listed tests fail the run, and so does each failure that is not listed.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+ENTRY = "test_it.py::test_red | pytest test_it.py, no seed | the sum is off | issue 28\n"
 TESTS = "def test_red():\n    assert False\ndef test_green():\n    assert True\n"
 
 
@@ -20,7 +21,7 @@
 
 
 def test_a_listed_test_that_fails_is_run_and_reported_as_xfailed(pytester: pytest.Pytester) -> None:
-    result = run(pytester, "test_it.py::test_red | the sum is off | issue 28\n")
+    result = run(pytester, ENTRY)
     result.assert_outcomes(passed=1, xfailed=1)
     result.stdout.fnmatch_lines(["known red: test_it.py::test_red*", "XFAIL*test_red*issue 28*the sum*"])
     assert result.ret == 0
@@ -28,7 +29,7 @@
 
 def test_unlisted_tests_still_fail_the_run(pytester: pytest.Pytester) -> None:
     tests = TESTS + "def test_other():\n    assert False\n"
-    result = run(pytester, "test_it.py::test_red | the sum is off | issue 28\n", tests)
+    result = run(pytester, ENTRY, tests)
     result.assert_outcomes(passed=1, xfailed=1, failed=1)
     assert result.ret == 1
 
@@ -40,9 +41,12 @@
 @pytest.mark.parametrize(
     ("known_red", "message"),
     [
-        ("test_it.py::test_gone | it went | issue 28\n", "*no test is called test_it.py::test_gone*"),
-        ("test_it.py::test_red | a | b\n" * 4, "*4 lines, 3 at most*"),
-        ("test_it.py::test_red\n", "*expected `test | cause | issue`*"),
+        (ENTRY.replace("test_red", "test_gone"), "*no test is called test_it.py::test_gone*"),
+        ("".join(ENTRY.replace("red", f"red{n}") for n in range(4)), "*4 tests, 3 at most*"),
+        (ENTRY * 2, "*a test is listed twice*"),
+        ("test_it.py::test_red\n", "*expected `test or command | command and seed | what was seen | issue`*"),
+        ("test_it.py::test_red | the sum is off | issue 28\n", "*expected `test or command |*"),
+        ("test_it.py::test_red | | the sum is off | issue 28\n", "*expected `test or command |*"),
     ],
 )
 def test_an_invalid_file_fails_the_run(pytester: pytest.Pytester, known_red: str, message: str) -> None:
@@ -52,6 +56,13 @@
 
 
 def test_a_partial_run_may_leave_out_the_listed_test(pytester: pytest.Pytester) -> None:
-    known_red = "test_it.py::test_red | the sum is off | issue 28\n"
-    result = run(pytester, known_red, TESTS, "test_it.py::test_green")
+    result = run(pytester, ENTRY, TESTS, "test_it.py::test_green")
     result.assert_outcomes(passed=1)
+
+
+def test_a_command_is_printed_and_permits_no_failure(pytester: pytest.Pytester) -> None:
+    command = "yewhook lab soak --first 7 | yewhook lab soak --first 7, seed 7 | a lost request | issue 39\n"
+    result = run(pytester, command)
+    result.stdout.fnmatch_lines(["known red: yewhook lab soak --first 7 | *a lost request | issue 39"])
+    result.assert_outcomes(passed=1, failed=1)
+    assert result.ret == 1
