JSON-RPC: a request is put together when its connection is up, with the time left then

Callers saw: nothing by itself; a worker was told up to a connect time (0.25 s) more than its client had left, and 0.15 s are allowed.

Cause: the tool-calls front composed a request when the attempt began, and it lay in the send buffer until the connection was up.

Evidence: a connection that came up after 0.18 s of the router's clock brought remainingMs 999 where 818 were left.

Change: Peer.ask keeps a request out of the send buffer until the connection is up, and takes a function for its params. Nothing of a request that waits for its connection can be flushed any more.

Result: test_an_attempt_tells_the_time_that_is_left_when_its_connection_comes_up failed before (999, 818 wanted) and passes; 68 tests of the front and the agent pass.

--- a/tests/test_given_up_calls.py
+++ b/tests/test_given_up_calls.py
@@ -237,3 +237,14 @@
     second = pool.acquire(scenario.reader.address)
     second.ask("reservations/release", {}, lambda result, error: None)
     scenario.play("reader expect reservations/release")
+
+
+def test_an_attempt_tells_the_time_that_is_left_when_its_connection_comes_up(scenario: Congestion) -> None:
+    # The rule on the time that is told: a worker was told the time that had been left when it was chosen.
+    scenario.writer.hold_connections()
+    read_prompt(scenario, "1000")
+    scenario.wait(0.15)
+    let_arrive(scenario, scenario.writer)
+    left_ms = 1000.0 * (scenario.front.router.requests.popitem()[1].deadline - scenario.clock.now)
+    told_ms = int(scenario.writer.heard.partition('"remainingMs":')[2].partition("}")[0])
+    assert told_ms == pytest.approx(left_ms, abs=2.0)
--- a/yewhook/jsonrpc.py
+++ b/yewhook/jsonrpc.py
@@ -71,6 +71,7 @@
         super().__init__(Code.INTERNAL_ERROR, "no reply in time")
 
 
+Params = dict[str, Any]
 Reply = Callable[[Any, RpcError | None], None]
 Id = str | int
 
@@ -96,9 +97,10 @@
 
 @dataclass(slots=True)
 class _PendingRequest:
+    compose: Callable[[], bytes]
     reply: Reply
     timer: Deadline | None
-    end: int  # its end among the bytes that are sent on the connection
+    end: int | None = None  # its end among the bytes that are sent on the connection; None = not sent yet
 
 
 def encode_message(message: dict[str, Any]) -> bytes:
@@ -169,15 +171,18 @@
         return pending is not None and self._is_written(pending)
 
     def _is_written(self, pending: _PendingRequest) -> bool:
-        return self.channel.sent_bytes >= pending.end
+        return pending.end is not None and self.channel.sent_bytes >= pending.end
 
     # ---- outgoing requests ----
 
-    def ask(self, method: str, params: dict[str, Any], reply: Reply, timeout: float | None = None) -> Id:
-        """Send a request and return its id.
+    def ask(
+        self, method: str, params: Params | Callable[[], Params], reply: Reply, timeout: float | None = None
+    ) -> Id:
+        """Send a request, as soon as the connection is established, and return its id.
 
-        `reply` is called once, with the result or the error, unless the request is cancelled or the peer is
-        closed first. `timeout` in seconds; None = no limit.
+        `params` may be a function that is called when the request is sent. `reply` is called once, with the
+        result or the error, unless the request is cancelled or the peer is closed first. `timeout` in
+        seconds; None = no limit.
         """
         request_id = next(self._ids)
         timer = None
@@ -185,20 +190,31 @@
             timer = self.loop.deadlines.set(
                 self.loop.now + timeout, lambda: self._request_timed_out(request_id)
             )
-        data = encode_message({"id": request_id, "method": method, "params": params})
-        end = self.channel.sent_bytes + self.channel.unsent + len(data)
-        self._pending[request_id] = _PendingRequest(reply, timer, end)
-        self._send(data)
+
+        def compose() -> bytes:
+            content = params() if callable(params) else params
+            return encode_message({"id": request_id, "method": method, "params": content})
+
+        pending = self._pending[request_id] = _PendingRequest(compose, reply, timer)
+        if self.is_connected:
+            self._send_request(pending)
         return request_id
 
+    def _send_request(self, pending: _PendingRequest) -> None:
+        data = pending.compose()
+        pending.end = self.channel.sent_bytes + self.channel.unsent + len(data)
+        self._send(data)
+
     def notify(self, method: str, params: dict[str, Any]) -> None:
         """Send a message that expects no response."""
         self._send(encode_message({"method": method, "params": params}))
 
     def cancel(self, request_id: Id, reason: str) -> None:
         """Cancel a request as the Model Context Protocol does; a late response is ignored."""
-        if (pending := self._pending.pop(request_id, None)) is not None:
-            self.loop.deadlines.cancel(pending.timer)
+        if (pending := self._pending.pop(request_id, None)) is None:
+            return
+        self.loop.deadlines.cancel(pending.timer)
+        if pending.end is not None:
             self.notify("notifications/cancelled", {"requestId": request_id, "reason": reason})
 
     def _request_timed_out(self, request_id: Id) -> None:
@@ -231,9 +247,11 @@
     # ---- channel events ----
 
     def connected(self) -> None:
-        """The connection is established."""
+        """The connection is established; send the requests that wait for it."""
         self.is_connected = True
         self._timer.cancel()
+        for pending in list(self._pending.values()):
+            self._send_request(pending)
 
     def drained(self) -> None:
         """The send buffer has been flushed."""
--- a/yewhook/toolcalls/workers.py
+++ b/yewhook/toolcalls/workers.py
@@ -9,7 +9,7 @@
 from ..config import Address
 from ..core.ending import Ending
 from ..front import PendingAttempts, ReleaseFunction
-from ..jsonrpc import Code, Id, Peer, RpcError
+from ..jsonrpc import Code, Id, Params, Peer, RpcError
 from ..loop import Loop
 from ..releases import DoneCallback
 from ..worker_list import WorkerList
@@ -39,12 +39,15 @@
         self._heard_at = workers.loop.now
         self._streaming = False
 
-    def begin(self, address: Address, params: dict[str, Any], connect_timeout: float) -> None:
-        """Send the attempt; `connect_timeout` in seconds. Raises OSError if no connection can be opened."""
+    def begin(self, address: Address, compose: Callable[[], Params], connect_timeout: float) -> None:
+        """Send the attempt; `connect_timeout` in seconds. Raises OSError if no connection can be opened.
+
+        `compose` is called as it is sent, so that the remaining time in it is exact.
+        """
         self.peer = peer = self.workers.pool.acquire(address)
         peer.limit_connect_time(connect_timeout)
         peer.handler = self
-        self.rpc_id = peer.ask("chat/completions", params, self._response_received)
+        self.rpc_id = peer.ask("chat/completions", compose, self._response_received)
 
     # ---- messages of the worker ----
 
@@ -189,9 +192,14 @@
     ) -> None:
         """Send an attempt; see `Workers.send`."""
         assert isinstance(call, dict)
-        params = call | {"requestId": request_id, "remainingMs": max(1, round(timeout * 1000))}
+        expires = self.loop.now + timeout
+
+        def compose() -> Params:
+            remaining_ms = max(1, round((expires - self.loop.now) * 1000))
+            return call | {"requestId": request_id, "remainingMs": remaining_ms}
+
         out = WorkerAttempt(self, request_id, attempt)
-        self.begin(out, server, lambda address: out.begin(address, params, begins))
+        self.begin(out, server, lambda address: out.begin(address, compose, begins))
 
 
 def release_state(
