Core: an attempt is sent as one typed message

Cause: the six parameters of Workers.send stood alike at five places, under other names at each (`call`, `begins`).

Change: core/ports.py has OutgoingAttempt, a frozen dataclass, which the router makes and both fronts, the lab and the tests take. No behaviour changes.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -16,6 +16,7 @@
 from hopshed import interface, wire
 from hopshed.interface import Outcome
 from yewhook.core.ending import OUTCOMES, Ending
+from yewhook.core.ports import OutgoingAttempt
 from yewhook.core.router import Router
 from yewhook.core.spent_ids import RETENTION_S
 from yewhook.core.state_releases import CLOSE_DETECTION_S, MAX_READ_DELAY_S
@@ -111,17 +112,9 @@
         self.forgotten: list[int] = []
         self.waiting: set[tuple[str, int]] = set()  # attempts of which no byte has been written
 
-    def send(
-        self,
-        request_id: str,
-        attempt: int,
-        server: int,
-        payload: object,
-        timeout: float,
-        connect_timeout: float,
-    ) -> None:
-        self.sent.append((request_id, attempt, server))
-        self.connect_timeouts.append(connect_timeout)
+    def send(self, attempt: OutgoingAttempt) -> None:
+        self.sent.append((attempt.request_id, attempt.number, attempt.server))
+        self.connect_timeouts.append(attempt.connect_timeout)
 
     def abort(self, request_id: str, attempt: int) -> bool:
         self.aborted.append((request_id, attempt))
--- a/yewhook/core/ports.py
+++ b/yewhook/core/ports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Protocol
 
 from hopshed.interface import Action, Event, Load, Role, RoleUsage
@@ -39,23 +40,23 @@
         """
 
 
+@dataclass(frozen=True, slots=True)
+class OutgoingAttempt:
+    """One attempt that is to be sent to a worker; the timeouts are in seconds from now."""
+
+    request_id: str
+    number: int  # index in the request's attempts, from 0
+    server: int  # id
+    payload: object  # what the front passed to `Router.accept`
+    timeout: float  # for the response to begin
+    connect_timeout: float  # for the first byte to be written; nothing may be sent after it
+
+
 class Workers(Protocol):
     """Sends attempts to workers; the end of each is reported once, to `AttemptListener.attempt_ended`."""
 
-    def send(
-        self,
-        request_id: str,
-        attempt: int,
-        server: int,
-        payload: object,
-        timeout: float,
-        connect_timeout: float,
-    ) -> None:
-        """Send one attempt, whose timeouts are in seconds.
-
-        `payload` is what the front passed to `Router.accept`. If the first byte has not been written within
-        `connect_timeout`, nothing may be sent any more.
-        """
+    def send(self, attempt: OutgoingAttempt) -> None:
+        """Send one attempt."""
 
     def abort(self, request_id: str, attempt: int) -> bool:
         """Abort an attempt, of which nothing more is reported; returns whether its last byte was written."""
--- a/yewhook/core/router.py
+++ b/yewhook/core/router.py
@@ -21,7 +21,7 @@
 from . import send_rules
 from .ending import NO_STATE_NOTE, OUTCOMES, Ending
 from .held_state import HeldState
-from .ports import Client, Governor, Workers
+from .ports import Client, Governor, OutgoingAttempt, Workers
 from .request_records import Attempt, RequestRecord, Stage
 from .server_table import ServerTable
 from .spent_ids import SpentIds
@@ -377,7 +377,9 @@
             self.log("attempt sent", f"{record.id} {attempt}: time-out {expires_at - now:.3f} s")
         connect_timeout = send_rules.connect_timeout(record, self.settings, now)
         self.workers.send(
-            record.id, attempt.number, attempt.server, record.payload, expires_at - now, connect_timeout
+            OutgoingAttempt(
+                record.id, attempt.number, attempt.server, record.payload, expires_at - now, connect_timeout
+            )
         )
         return None
 
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -14,6 +14,7 @@
 from ..config import Address
 from ..connection_pool import ConnectionPool
 from ..core.ending import Ending
+from ..core.ports import OutgoingAttempt
 from ..front import PendingAttempts, ReleaseFunction
 from ..loop import Loop, Timer
 from ..worker_list import WorkerList
@@ -414,29 +415,22 @@
         super().__init__(pool.loop, worker_list, release)
         self.pool, self.columns = pool, columns
 
-    def send(
-        self,
-        request_id: str,
-        attempt: int,
-        server: int,
-        payload: object,
-        timeout: float,
-        connect_timeout: float,
-    ) -> None:
-        """Send one attempt.
-
-        `payload` is the client's `HttpRequest`, `timeout` its remaining time, and `connect_timeout` the time
-        in which the connection must be up; both are in seconds.
-        """
-        assert isinstance(payload, HttpRequest)
-        fields = {"host": "worker", "content-type": "application/json"} | http.end_to_end(payload.headers)
-        fields |= {"X-Txn": request_id, "Content-Length": str(len(payload.body))}
-        start = f"{payload.method.decode('latin-1')} {payload.target.decode('latin-1')} HTTP/1.1"
-        expires = self.loop.now + timeout
+    def send(self, attempt: OutgoingAttempt) -> None:
+        """Send one attempt, whose payload is the client's `HttpRequest`."""
+        request = attempt.payload
+        assert isinstance(request, HttpRequest)
+        fields = {"host": "worker", "content-type": "application/json"} | http.end_to_end(request.headers)
+        fields |= {"X-Txn": attempt.request_id, "Content-Length": str(len(request.body))}
+        start = f"{request.method.decode('latin-1')} {request.target.decode('latin-1')} HTTP/1.1"
+        expires = self.loop.now + attempt.timeout
 
         def compose() -> bytes:
             remaining = max(1, round((expires - self.loop.now) * 1e6))
-            return http.head(start, fields | {"X-Remaining": f"{remaining}u"}) + payload.body
+            return http.head(start, fields | {"X-Remaining": f"{remaining}u"}) + request.body
 
-        exchange = AttemptExchange(self, request_id, attempt)
-        self.begin(exchange, server, lambda address: exchange.begin(address, compose, connect_timeout))
+        exchange = AttemptExchange(self, attempt.request_id, attempt.number)
+        self.begin(
+            exchange,
+            attempt.server,
+            lambda address: exchange.begin(address, compose, attempt.connect_timeout),
+        )
--- a/yewhook/toolcalls/workers.py
+++ b/yewhook/toolcalls/workers.py
@@ -8,6 +8,7 @@
 from .. import load_reports
 from ..config import Address
 from ..core.ending import Ending
+from ..core.ports import OutgoingAttempt
 from ..front import PendingAttempts, ReleaseFunction
 from ..jsonrpc import Code, Id, Params, Peer, RpcError
 from ..loop import Loop
@@ -187,19 +188,22 @@
         self.pool, self.tools, self.columns = pool, tools, columns
         self.silence_timeout_s = silence_timeout_s
 
-    def send(
-        self, request_id: str, attempt: int, server: int, call: object, timeout: float, begins: float
-    ) -> None:
-        """Send an attempt; see `Workers.send`."""
-        assert isinstance(call, dict)
-        expires = self.loop.now + timeout
+    def send(self, attempt: OutgoingAttempt) -> None:
+        """Send one attempt, whose payload is the params of the client's request."""
+        client_params = attempt.payload
+        assert isinstance(client_params, dict)
+        expires = self.loop.now + attempt.timeout
 
         def compose() -> Params:
             remaining_ms = max(1, round((expires - self.loop.now) * 1000))
-            return call | {"requestId": request_id, "remainingMs": remaining_ms}
+            return client_params | {"requestId": attempt.request_id, "remainingMs": remaining_ms}
 
-        out = WorkerAttempt(self, request_id, attempt)
-        self.begin(out, server, lambda address: out.begin(address, compose, begins))
+        exchange = WorkerAttempt(self, attempt.request_id, attempt.number)
+        self.begin(
+            exchange,
+            attempt.server,
+            lambda address: exchange.begin(address, compose, attempt.connect_timeout),
+        )
 
 
 def release_state(
--- a/yewlab/fleet.py
+++ b/yewlab/fleet.py
@@ -10,7 +10,7 @@
 from hopshed import interface
 from hopshed.interface import ListKind, Role, ServerState
 from yewhook.core.ending import Ending
-from yewhook.core.ports import AttemptListener
+from yewhook.core.ports import AttemptListener, OutgoingAttempt
 
 from .costs import Costs, whole_work
 from .engines import Engine, Job, Server
@@ -192,27 +192,27 @@
         self.fleet, self.router = fleet, router
         self._attempts: dict[tuple[str, int], SentAttempt] = {}
 
-    def send(
-        self,
-        request_id: str,
-        attempt: int,
-        server: int,
-        payload: object,
-        timeout: float,
-        connect_timeout: float,
-    ) -> None:
+    def send(self, attempt: OutgoingAttempt) -> None:
         """Send one attempt, which arrives after ONE_WAY_DELAY_S; the timeouts are not simulated."""
-        ask: Payload = payload  # type: ignore[assignment]
-        machine = self.fleet.machines[server]
+        request: Payload = attempt.payload  # type: ignore[assignment]
+        machine = self.fleet.machines[attempt.server]
         reads = machine.server.engine.role is Role.READER
 
         def done(job: Job, what: str) -> None:
             self._job_progressed(sent, what)
 
-        job = Job(request_id, ask.session, ask.prefix, ask.prefix_tokens, ask.prompt, ask.answer, done)
-        sent: SentAttempt = SentAttempt(self, attempt, machine, job, ask.cls, reads)
-        self._attempts[request_id, attempt] = sent
-        self.fleet.rules.sent(self.router, request_id, server, reads, self.fleet.sim.now)
+        job = Job(
+            attempt.request_id,
+            request.session,
+            request.prefix,
+            request.prefix_tokens,
+            request.prompt,
+            request.answer,
+            done,
+        )
+        sent: SentAttempt = SentAttempt(self, attempt.number, machine, job, request.cls, reads)
+        self._attempts[attempt.request_id, attempt.number] = sent
+        self.fleet.rules.sent(self.router, attempt.request_id, attempt.server, reads, self.fleet.sim.now)
         self.fleet.sim.after(ONE_WAY_DELAY_S, lambda: self._arrive(sent))
 
     def _arrive(self, sent: SentAttempt) -> None:
