Tests: what parties of a scenario send is called a message

Cause: SAYINGS and sayings are words of the earlier house style. Change: MESSAGES and messages, in nine test files; no check changes.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,6 +1,6 @@
 """Runs the scenarios of the network tests, one action per line, against a router on loopback.
 
-    client send ask id=r1 lane=fault-lookup     sends a message that `sayings` defines, with its arguments
+    client send ask id=r1 lane=fault-lookup     sends a message that `messages` defines, with its arguments
     reader expect POST /v1/chat/completions     waits until the party has received this text
     reader close | reader reset                 closes or resets the party's connection
     reader close listening                      refuses new connections to the party
@@ -143,11 +143,11 @@
 class Play:
     """A router's service, its parties, and the scenarios that run against them."""
 
-    def __init__(self, sayings: dict[str, Callable[..., bytes]]) -> None:
+    def __init__(self, messages: dict[str, Callable[..., bytes]]) -> None:
         self.clock, self.log = Clock(), RecordingLog()
         self.service = Service(self.log, Loop(self.log, self.clock))
         self.parties: dict[str, FakePeer] = {}
-        self.sayings = sayings
+        self.messages = messages
 
     def turn(self, seconds: float = 0.0005, max_wait_s: float = 0.0005) -> None:
         """Advance the clock, then run the router's loop and poll the parties.
@@ -189,7 +189,7 @@
                 party = self.parties[party_name] = FakePeer(self.parties["client"].address)
             if verb == "send":
                 name, *arguments = text.split()
-                party.send(self.sayings[name](**dict(argument.split("=", 1) for argument in arguments)))
+                party.send(self.messages[name](**dict(argument.split("=", 1) for argument in arguments)))
             elif verb == "expect" and text == "closed":
                 self.until(partial(_ended, party), f"missed: {line}")
             elif verb == "expect":
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,7 +12,7 @@
 import pytest
 from scenario import FakePeer
 from settings import ENV
-from test_platform import FLEET, SAYINGS, Platform, ask, chunk
+from test_platform import FLEET, MESSAGES, Platform, ask, chunk
 
 from hopshed.interface import ServerState
 from yewhook.channel import Channel
@@ -135,7 +135,7 @@
 
     def arrive_then_sweep() -> None:
         if not sent:
-            p.parties["client"].send(SAYINGS["get"](path="/healthz"))
+            p.parties["client"].send(MESSAGES["get"](path="/healthz"))
             sent.append(True)
             p.clock.now += 0.2  # longer than the idle timeout
             p.service.loop.now = p.clock.now
@@ -154,7 +154,7 @@
 
     def arrive_then_late(self: ClientConnection) -> None:
         if not sent:
-            client.send(SAYINGS["get"](path="/healthz"))
+            client.send(MESSAGES["get"](path="/healthz"))
             sent.append(True)
         late(self)
 
--- a/tests/test_given_up_attempts.py
+++ b/tests/test_given_up_attempts.py
@@ -6,7 +6,7 @@
 
 import pytest
 from congested_peer import CongestedPeer, let_arrive
-from test_platform import FLEET, SAYINGS, Platform
+from test_platform import FLEET, MESSAGES, Platform
 
 LARGE_BODY = '{"stream":true,"messages":"' + "x" * 200_000 + '"}'
 
@@ -29,7 +29,7 @@
 
 def read_prompt(scenario: Congestion, patience_ms: int = 8000, **more: str) -> None:
     """A client's request of a class that may run once is read, and the attempt at the writer begins."""
-    scenario.parties["client"].send(SAYINGS["ask"](lane="service-log", left=f"{patience_ms}m", **more))
+    scenario.parties["client"].send(MESSAGES["ask"](lane="service-log", left=f"{patience_ms}m", **more))
     scenario.play("reader expect POST /v1/chat/completions\nreader send read\nwait 0.03")
 
 
--- a/tests/test_given_up_calls.py
+++ b/tests/test_given_up_calls.py
@@ -10,7 +10,7 @@
 import pytest
 from congested_peer import LARGE_PROMPT, MARGIN_S, CongestedPeer, let_arrive, watch
 from scenario import FakePeer
-from toolcalls_scenario import SAYINGS, STREAM_STARTED, ToolCalls, message
+from toolcalls_scenario import MESSAGES, STREAM_STARTED, ToolCalls, message
 
 from yewhook.channel import READ_SIZE_BYTES
 from yewhook.jsonrpc import MAX_MESSAGE_BYTES
@@ -48,7 +48,7 @@
 
 def read_prompt(scenario: Congestion, patience_ms: str = "9000", **more: str) -> None:
     """A client's request is read, and the attempt at the writer begins."""
-    scenario.parties["client"].send(SAYINGS["ask"](left=patience_ms, **more))
+    scenario.parties["client"].send(MESSAGES["ask"](left=patience_ms, **more))
     scenario.play("reader expect chat/completions\nreader send read\nwait 0.03")
 
 
@@ -98,7 +98,7 @@
     scenario.play(earlier)
     scenario.writer.heard, scenario.writer.unread = "", True
     number = 2 if earlier else 1
-    scenario.parties["client"].send(SAYINGS["ask"](id=str(number), left="120", messages=LARGE_PROMPT))
+    scenario.parties["client"].send(MESSAGES["ask"](id=str(number), left="120", messages=LARGE_PROMPT))
     scenario.play(f"reader expect chat/completions\nreader send read id={number}")
     scenario.play(f'wait 0.13\nclient expect "id":{number},"error":{{"code":-32001')
     let_arrive(scenario, scenario.writer)
@@ -156,7 +156,7 @@
     set_tool_deadline(scenario, 0.1)
     scenario.tool.unread = True
     scenario.play(STREAM_STARTED)
-    scenario.writer.send(SAYINGS["call"](meta=LARGE_PROMPT))
+    scenario.writer.send(MESSAGES["call"](meta=LARGE_PROMPT))
     scenario.play("client expect notifications/tool_call")
     scenario.until(lambda: scenario.tool.connections == 1, "a connection to the tool server")
     scenario.turn()
@@ -205,7 +205,7 @@
     scenario.front.reload()()
     scenario.tool.unread = True
     scenario.play(STREAM_STARTED)
-    scenario.writer.send(SAYINGS["call"](meta=LARGE_PROMPT))
+    scenario.writer.send(MESSAGES["call"](meta=LARGE_PROMPT))
     scenario.play("client expect notifications/tool_call")
     scenario.until(lambda: scenario.tool.connections == 1, "a connection to the tool server")
     send_too_much(scenario, scenario.tool)
--- a/tests/test_given_up_sequences.py
+++ b/tests/test_given_up_sequences.py
@@ -11,7 +11,7 @@
 
 import pytest
 from congested_peer import CONNECT_REPEAT_S, LARGE_PROMPT, MARGIN_S, CongestedPeer, watch
-from toolcalls_scenario import SAYINGS, ToolCalls, message
+from toolcalls_scenario import MESSAGES, ToolCalls, message
 
 from yewhook.jsonrpc import Code
 
@@ -86,7 +86,7 @@
             self._buffers.pop(sock)
             return sock.close()
         if self.fault != "say nothing":
-            self._send(sock, SAYINGS["event"]("x") + message(id=number, result={}))
+            self._send(sock, MESSAGES["event"]("x") + message(id=number, result={}))
         return None
 
     def _send(self, sock: socket.socket, data: bytes) -> None:
@@ -129,7 +129,7 @@
         elif self.asked:
             number = self.random.choice(self.asked)
             self.cancelled.add(number)
-            self.parties["client"].send(SAYINGS["cancel"](id=number))
+            self.parties["client"].send(MESSAGES["cancel"](id=number))
         self.wait(self.random.choice((0.01, 0.05, 0.2)))
 
     def _ask(self) -> None:
@@ -138,7 +138,7 @@
         prompt = self.random.choice(("", LARGE_PROMPT))
         patience_ms = self.random.choice(("150", "400", "2000"))
         self.parties["client"].send(
-            SAYINGS["ask"](id=str(number), left=patience_ms, order=str(number), messages=prompt)
+            MESSAGES["ask"](id=str(number), left=patience_ms, order=str(number), messages=prompt)
         )
 
     def finish(self) -> None:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from scenario import FakePeer
-from test_platform import FLEET, SAYINGS, Platform, begin
+from test_platform import FLEET, MESSAGES, Platform, begin
 
 from yewhook.operations.instance import FRONT_MODES, TRANSITIONS, Event, Instance, State, step
 from yewhook.operations.management_endpoint import MAX_CONNECTIONS, ManagementEndpoint
@@ -21,13 +21,13 @@
     def __init__(self) -> None:
         super().__init__(FLEET)
         self.endpoint = ManagementEndpoint(self.service, ("127.0.0.1", 0))
-        self.sayings = self.sayings | {
+        self.messages = self.messages | {
             "call": lambda path, method="GET": f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode(),
             "half": lambda: b"POST /-/drain HTTP/1.1\r\nHo",
             "long_head": lambda: b"GET /-/ready HTTP/1.1\r\nx: " + b"y" * 5000,
             "long_body": lambda: b"POST /-/drain HTTP/1.1\r\nContent-Length: 2000\r\n\r\n" + b"y" * 2000,
-            "half_ask": lambda: SAYINGS["ask"](id="half")[:-3],
-            "end_ask": lambda: SAYINGS["ask"](id="half")[-3:],
+            "half_ask": lambda: MESSAGES["ask"](id="half")[:-3],
+            "end_ask": lambda: MESSAGES["ask"](id="half")[-3:],
         }
 
     def call(self, path: str, method: str = "GET", status: str = "200 OK") -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -47,7 +47,7 @@
 
 
 # What the scenario line `PARTY send NAME KEY=VALUE...` sends, by name
-SAYINGS: dict[str, Callable[..., bytes]] = {
+MESSAGES: dict[str, Callable[..., bytes]] = {
     "ask": ask,
     "get": lambda path: f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode(),
     "raw": lambda text: text.replace("_", " ").replace("|", "\r\n").encode() + b"\r\n\r\n",
@@ -90,7 +90,7 @@
         `wait_for_list` says that the router has waited for discovery's first list; `env` overrides settings,
         and `workers` replaces some of the workers.
         """
-        super().__init__(SAYINGS | {"list": self.listed})
+        super().__init__(MESSAGES | {"list": self.listed})
         settings, names = parse_settings(ENV | {"instances": routers} | (env or {}))
         self.fleet = dict(fleet)  # tests may add to it
         self.parties = {name: FakePeer() for name in fleet} | {"discovery": FakePeer(keep_connections=True)}
@@ -296,7 +296,7 @@
 
 def test_a_slow_client_pauses_its_worker_and_is_finally_disconnected(p: Platform) -> None:
     p.play(begin() + "writer send stream")
-    event = SAYINGS["event"](text="x" * 60000)
+    event = MESSAGES["event"](text="x" * 60000)
     writer, client = p.parties["writer"], p.parties["client"]
     client.poll = lambda: None  # type: ignore[method-assign]
     assert writer.sock is not None
@@ -313,7 +313,7 @@
 
 
 @pytest.mark.parametrize(
-    ("saying", "status"),
+    ("malformed", "status"),
     [
         ("raw text=nonsense", 400),
         ("huge", 413),
@@ -328,8 +328,8 @@
         ("get path=/v1/chat/completions", 405),
     ],
 )
-def test_malformed_and_oversized_input_gets_a_4xx(p: Platform, saying: str, status: int) -> None:
-    p.play(f"client send {saying}\nclient expect HTTP/1.1 {status}")
+def test_malformed_and_oversized_input_gets_a_4xx(p: Platform, malformed: str, status: int) -> None:
+    p.play(f"client send {malformed}\nclient expect HTTP/1.1 {status}")
     p.play("client2 send get path=/healthz\nclient2 expect 200 OK")
 
 
@@ -400,7 +400,7 @@
         if n % 10 == 9:  # the streams send events
             for sock in kept:
                 with contextlib.suppress(OSError):
-                    sock.send(SAYINGS["event"](text="b"))
+                    sock.send(MESSAGES["event"](text="b"))
         p.wait(0.1)
         left.append(len(p.front.router.requests))
     assert left[20] == 6 and left[-1] == 0
@@ -521,7 +521,7 @@
 
 
 def test_pipelined_requests_are_answered_one_after_the_other(p: Platform) -> None:
-    both = SAYINGS["get"](path="/healthz") + SAYINGS["get"](path="/nowhere") + ask()
+    both = MESSAGES["get"](path="/healthz") + MESSAGES["get"](path="/nowhere") + ask()
     p.parties["client"].send(both)
     p.play("client expect 200 OK\nclient expect 404 Not Found\nreader expect POST")
 
--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -7,7 +7,7 @@
 
 import pytest
 from scenario import FakePeer
-from toolcalls_scenario import SAYINGS, STREAM_STARTED, TOOL_CALLED, ToolCalls
+from toolcalls_scenario import MESSAGES, STREAM_STARTED, TOOL_CALLED, ToolCalls
 
 
 @pytest.fixture
@@ -199,7 +199,7 @@
 
 
 @pytest.mark.parametrize(
-    ("saying", "code"),
+    ("malformed", "code"),
     [
         ("raw text={", -32700),
         ("raw text=[]", -32600),
@@ -211,8 +211,10 @@
         ("raw text=" + "x" * 600_000, -32600),
     ],
 )
-def test_malformed_messages_get_standard_json_rpc_errors(scenario: ToolCalls, saying: str, code: int) -> None:
-    scenario.play(f'client send {saying}\nclient expect "error":{{"code":{code}')
+def test_malformed_messages_get_standard_json_rpc_errors(
+    scenario: ToolCalls, malformed: str, code: int
+) -> None:
+    scenario.play(f'client send {malformed}\nclient expect "error":{{"code":{code}')
     scenario.play("client2 send method name=ping\nclient2 expect result")
 
 
@@ -257,7 +259,7 @@
 def test_the_connection_of_a_peer_that_does_not_read_is_closed(scenario: ToolCalls) -> None:
     client = scenario.parties["client"]
     client.poll = lambda: None  # type: ignore[method-assign]
-    client.send(SAYINGS["method"](name="x" * 100_000))
+    client.send(MESSAGES["method"](name="x" * 100_000))
     scenario.turn()
     peer = next(iter(scenario.front.clients.connections)).peer
     for n in range(200):
--- a/tests/toolcalls_scenario.py
+++ b/tests/toolcalls_scenario.py
@@ -39,7 +39,7 @@
     return message(id=int(id), error={"code": int(code), "message": "no"})
 
 
-SAYINGS: dict[str, Callable[..., bytes]] = {
+MESSAGES: dict[str, Callable[..., bytes]] = {
     "ask": chat_request,
     "call": tool_call,
     "error": error_response,
@@ -59,7 +59,7 @@
 
     def __init__(self, folder: Path, **parties: FakePeer) -> None:
         """`parties` replaces those that listen."""
-        super().__init__(SAYINGS)
+        super().__init__(MESSAGES)
         self.parties = {name: FakePeer() for name in ("reader", "writer", "tool")} | parties
         (folder / "settings.json").write_text(json.dumps(ENV))
         self.records = folder / "fleet.zone"
