Platform front: a client's request and its parsing have a module of their own

Change: BadRequest, HttpRequest and the parsing of the headers stand in platform/client_request.py; nothing else changes.

--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -1,17 +1,13 @@
-"""Client side of the platform front: accepts connections, parses requests and answers each one once."""
+"""Client side of the platform front: accepts connections, receives requests and answers each one once."""
 
 from __future__ import annotations
 
 import math
-import re
 import socket
 from collections import deque
-from dataclasses import dataclass, field
 
 import httptools
 
-from hopshed.interface import RequestArrived
-
 from ..arrival_time import ArrivalTime
 from ..channel import Channel
 from ..config import Names
@@ -23,11 +19,11 @@
 from ..operations.instance import FrontMode
 from ..slow_reader import SlowReader
 from . import http
+from .client_request import BadRequest, HttpRequest, parse_request
 
 CHAT_COMPLETIONS_PATH = b"/v1/chat/completions"
 SLOW_CLIENT_BYTES = 65536  # waiting to be sent to a client, above which its stream is not read
 CAUGHT_UP_BYTES = 16384  # below which it is read again
-TRANSIT_ALLOWANCE_S = 0.001  # subtracted from a client's time for the transit of its request and its response
 MAX_PIPELINED_REQUESTS = 4  # requests that may wait on one connection behind the one being served
 REQUEST_TIMEOUT_S = 2.2  # for a request to arrive whole; on a new connection, counted from its acceptance
 UNREAD_GRACE_S = 0.02  # added to that timeout where the kernel holds unread bytes at that moment
@@ -35,8 +31,6 @@
 # Time in state DRAINED, in which clients open no new connections, for requests to arrive whole
 DRAIN_REQUEST_TIMEOUT_S = 1.4
 BAD_REQUEST_PAUSE_S = 0.5  # for which a connection is not read after an invalid request
-MAX_TOKENS = 1_000_000  # in a prompt, its prefix or its output; no body of the permitted size holds as many
-MAX_PATIENCE_S = 3600.0  # a longer X-Remaining is reduced to this
 # HTTP status of a failed request, by how its last attempt ended (None = no attempt); 502 for all others
 STATUS_BY_ENDING = {Ending.TIMED_OUT: 504, Ending.UNSENT_IN_TIME: 504, None: 500}
 
@@ -44,84 +38,6 @@
 SINGLE_VALUE_HEADERS = {"content-length", "transfer-encoding", "x-remaining", *http.WORKER_HEADERS, "x-txn"}
 
 
-class BadRequest(Exception):
-    """A request that is answered with an error status; the message is the body of the answer."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-
-
-@dataclass(slots=True)
-class HttpRequest:
-    """A client's request as it is forwarded to workers."""
-
-    method: bytes = b""
-    target: bytes = b""
-    headers: dict[str, str] = field(default_factory=dict)
-    body: bytearray = field(default_factory=bytearray)
-    keep_alive: bool = True
-    began: float = 0.0  # the loop's time in seconds at which it may have begun to arrive
-    rejected: BadRequest | None = None  # the error to answer with, in the order of the requests
-
-
-REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9_-]{1,64}")
-DURATION_PATTERN = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,9})?)([mu])")
-COUNT_PATTERN = re.compile(r"[0-9]{1,9}")
-
-
-def parse_duration(text: str) -> float:
-    """Returns a duration in seconds, given with its unit: `4800m` (ms) or `4800000u` (µs).
-
-    Raises BadRequest.
-    """
-    if (found := DURATION_PATTERN.fullmatch(text)) is None:
-        raise BadRequest(400, "X-Remaining: expected a number followed by m or u")
-    return min(float(found[1]) * (1e-3 if found[2] == "m" else 1e-6), MAX_PATIENCE_S)
-
-
-def _token_count(labels: dict[str, str], name: str) -> float:
-    text = labels.get(name, "0")
-    if not COUNT_PATTERN.fullmatch(text) or int(text) > MAX_TOKENS:
-        raise BadRequest(400, f"X-Labels: {name} must be a whole number up to {MAX_TOKENS}")
-    return float(text)
-
-
-def _index_of(names: tuple[str, ...], name: str | None, header: str) -> int:
-    if name not in names:
-        raise BadRequest(400, f"{header}: {'unknown name' if name else 'missing'}")
-    return names.index(name)
-
-
-def parse_request(request: HttpRequest, names: Names, now: float) -> RequestArrived:
-    """Translate a request into the event for the routing module. Raises BadRequest."""
-    headers = request.headers
-    request_id = headers.get("x-txn", "")
-    if not REQUEST_ID_PATTERN.fullmatch(request_id):
-        raise BadRequest(400, "X-Txn: missing or not a word")
-    if invalid := next(
-        (name for name in http.WORKER_HEADERS if not http.PRINTABLE_ASCII.fullmatch(headers.get(name, ""))),
-        "",
-    ):
-        raise BadRequest(400, f"{invalid}: too long, or with characters that are not printable ASCII")
-    parts = (part.partition("=") for part in headers.get("x-labels", "").split(",") if part)
-    labels = {name.strip(): value.strip() for name, _, value in parts}
-    remaining_s = parse_duration(headers.get("x-remaining", "")) - (now - request.began) - TRANSIT_ALLOWANCE_S
-    return RequestArrived(
-        id=request_id,
-        cls=_index_of(names.classes, headers.get("x-lane"), "X-Lane"),
-        tenant=_index_of(names.tenants, headers.get("x-org"), "X-Org") if names.tenants else 0,
-        session=headers.get("x-entity") or request_id,
-        patience=max(0.0, remaining_s),
-        prompt_tokens=_token_count(labels, "prompt_len"),
-        prefix=labels.get("prefix"),
-        prefix_tokens=_token_count(labels, "prefix_len"),
-        max_tokens=_token_count(labels, "max_out"),
-        resumed=headers.get("x-resent") == "again",
-        repeat=headers.get("x-resent") == "1",
-    )
-
-
 class ClientConnection:
     """One client's connection; for the request being served it is the `Client` that the core talks to."""
 
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -19,7 +19,7 @@
 from ..loop import Loop, Timer
 from ..worker_list import WorkerList
 from . import http
-from .clients import HttpRequest
+from .client_request import HttpRequest
 
 # Silence after which a running stream is broken off. Clients that can resume it elsewhere are better off
 # then. For the others the limit is higher, but no client may be kept waiting for 5 s.
