Messages of other routers are read in every turn, not every 20 ms

Change: Peers polls its socket in each turn that takes place; a message waits 20 ms less. Messages still wake nobody.

--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -168,6 +168,19 @@
     assert loop.sockets == 0
 
 
+def test_each_turn_reads_the_messages_that_have_arrived(
+    peer_socket: tuple[Loop, Peers, socket.socket, list[tuple[int, bytes]]],
+) -> None:
+    # Messages used to wait for up to 20 ms although turns took place.
+    loop, peers, other, received = peer_socket
+    peers.tell(b"Fabcdefgh")
+    _, listening = other.recvfrom(300)
+    for number in range(1, 6):
+        other.sendto(b"Fabcdefgh", listening)
+        loop.run_turn(0.0)
+        assert len(received) == number
+
+
 def test_messages_go_to_all_routers_and_arrive_with_the_senders_number(
     peer_socket: tuple[Loop, Peers, socket.socket, list[tuple[int, bytes]]],
 ) -> None:
--- a/yewhook/platform/peers.py
+++ b/yewhook/platform/peers.py
@@ -1,13 +1,12 @@
 """Short UDP messages between the routers of a tier; they may be delayed or lost, and are never acknowledged.
 
-A message does not wake the event loop, since hundreds of routers send hundreds of messages a second. The
-socket is polled in turns that take place anyway, at most once per `READ_INTERVAL_S`; the routing module's
-periodic timer ensures that there are such turns.
+A message does not wake the event loop: hundreds of routers send hundreds of messages a second, and a turn
+costs far more than to read a message. The socket is polled in each turn that takes place anyway; the routing
+module's periodic timer ensures that there are such turns.
 """
 
 from __future__ import annotations
 
-import math
 import socket
 from collections.abc import Callable
 
@@ -17,7 +16,6 @@
 
 MAX_MESSAGE_BYTES = 256  # the platform's limit on datagrams
 MAX_MESSAGES_PER_TURN = 64
-READ_INTERVAL_S = 0.02  # between reads of the socket, at least
 BIND_RETRY_S = 0.05  # between attempts to bind while another process of this instance holds the address
 
 
@@ -42,7 +40,7 @@
         self._loop, self._broadcast, self._message_received = loop, broadcast, message_received
         self._listen, self._numbers = listen, {address: number for number, address in enumerate(peers)}
         self._socket: socket.socket | None = None
-        self._bind_timer, self._last_read_at = Timer(loop), -math.inf
+        self._bind_timer = Timer(loop)
         if may_be_bound:
             self.open()
         else:
@@ -83,9 +81,6 @@
             self._loop.log("message to routers lost", str(error))
 
     def _receive(self) -> None:
-        if self._loop.now - self._last_read_at < READ_INTERVAL_S:
-            return
-        self._last_read_at = self._loop.now
         for _ in range(MAX_MESSAGES_PER_TURN):
             if self._socket is None:
                 return
