Agent: processes that were told to end have the fleet's grace period, no more

Callers saw: the old process of an upgrade was killed 3.7 s after SIGTERM though grace_s says 20, which cuts streams that now run on; `stop` and `restart` of a router that hangs never ended.

Cause: OLD_PROCESS_TIMEOUT_S was the platform's earliest kill, and Instance.stop relied on the router to end by itself. At the end of a shutdown's grace only current processes were killed, and replaced ones were waited for without a limit.

Change: each process that is told to end is killed after grace_s, 3.7 s at least; a shutdown kills replaced processes with the others. The log line `instance killed` names the pid.

--- a/yewhook/agent/agent.py
+++ b/yewhook/agent/agent.py
@@ -73,7 +73,14 @@
         self._poll()
 
     def _create_instance(self, spec: InstanceSpec) -> Instance:
-        return Instance(self.loop, spec, self._publish, Path(self._folder.name), self._store_desired_state)
+        return Instance(
+            self.loop,
+            spec,
+            self._publish,
+            Path(self._folder.name),
+            self._store_desired_state,
+            lambda: self.fleet.grace,
+        )
 
     def _restore_desired_state(self, instance: Instance) -> None:
         """Restore the stored drain and stop orders of an instance, and start it unless it was stopped."""
--- a/yewhook/agent/instance.py
+++ b/yewhook/agent/instance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import signal
 import socket
 import subprocess
@@ -25,7 +26,7 @@
 MAX_BACKOFF_S = 10.0
 BACKOFF_RESET_S = 10.0  # an instance that was ready for longer is restarted with the initial backoff again
 SUCCESSOR_TIMEOUT_S = 10.0  # for the new process of an upgrade to serve
-OLD_PROCESS_TIMEOUT_S = 3.7  # for the old process to end after an upgrade; then it is killed
+MIN_KILL_TIMEOUT_S = 3.7  # a process may need as long to end its requests, however short the grace period is
 
 
 class State(Enum):
@@ -54,11 +55,14 @@
         changed: Callable[[], None],
         folder: Path,
         store_desired_state: Callable[[Instance, Orders, bool], None],
+        grace: Callable[[], float],
     ) -> None:
         """`changed` is called at each change of the state; `folder` holds the files by which the processes of
         an instance find each other. `store_desired_state` stores orders and whether the instance is to run;
-        it raises OrderRefused if that fails.
+        it raises OrderRefused if that fails. `grace` returns the seconds in which a process that was told to
+        end may finish its requests.
         """
+        self._grace = grace
         self.spec, self.state, self._folder = spec, State.STOPPED, folder
         self._store_desired_state, self.wanted = store_desired_state, True
         self.orders = Orders()
@@ -73,6 +77,7 @@
         self._backoff = INITIAL_BACKOFF_S
         self._restart_at = 0.0
         self._restart_after_stop = False
+        self._kill_at = math.inf  # when the process is killed if it still runs
         self._reload_pending = False  # SIGHUP is to be sent once a probe succeeds
         self._probe_results: dict[str, bool] = {}
         self._next_probe_at, self._failed_probes = 0.0, 0
@@ -193,7 +198,7 @@
         code, status = successor.process.poll(), successor.link.status
         if code is None and status.get("serves") and self._process is not None:
             self._process.terminate()
-            self._old_processes.append((self._process, self._loop.now + OLD_PROCESS_TIMEOUT_S))
+            self._old_processes.append((self._process, self._latest_end()))
             self._close_link()
             self._process, self.link = successor.process, successor.link
             return self._end_upgrade(successor, "")
@@ -220,6 +225,10 @@
         self._next_probe_at = self._loop.now
         successor.done(failure)
 
+    def _latest_end(self) -> float:
+        """When a process that is told to end now is killed, in seconds of the loop's clock."""
+        return self._loop.now + max(MIN_KILL_TIMEOUT_S, self._grace())
+
     def _close_link(self) -> None:
         if self.link is not None:
             self.link.close()
@@ -237,6 +246,7 @@
             return self._enter_stopped()
         if self.state is not State.STOPPING:
             self._process.terminate()
+            self._kill_at = self._latest_end()
             self._set_state(State.STOPPING)
         return None
 
@@ -255,12 +265,18 @@
         self._reload_pending = self.running and not changed
 
     def kill(self) -> None:
-        """Kill its process."""
+        """Kill its processes, those that were replaced among them."""
+        processes = [old for old, _ in self._old_processes]
         if self._process is not None:
-            self._loop.log(
-                "instance killed", f"{self.spec.name}: requests not finished within the grace period"
-            )
-            self._process.kill()
+            processes.append(self._process)
+        for process in processes:
+            self._kill(process)
+
+    def _kill(self, process: subprocess.Popen[bytes]) -> None:
+        self._loop.log(
+            "instance killed", f"{self.spec.name} pid {process.pid}: not finished within the grace period"
+        )
+        process.kill()
 
     def reap(self) -> None:
         """Wait for its processes to exit and close its sockets; a successor is killed."""
@@ -280,12 +296,15 @@
         now = self._loop.now
         for process, deadline in self._old_processes:
             if process.poll() is None and now >= deadline:
-                process.kill()
+                self._kill(process)
         self._old_processes = [
             (process, deadline) for process, deadline in self._old_processes if process.poll() is None
         ]
         if self._successor is not None:
             self._check_successor(self._successor)
+        if self.state is State.STOPPING and self._process is not None and now >= self._kill_at:
+            self._kill_at = math.inf
+            self._kill(self._process)
         if self._process is not None and (code := self._process.poll()) is not None:
             self._process = None
             self._close_link()
