Agent: a shutdown leaves routers 3.7 s at least, as the other orders do

Cause: the end of the whole agent took grace_s as it stands, while single orders leave 3.7 s, the platform's earliest kill.

Change: the agent's grace period is 3.7 s at least, for every order.

--- a/tests/test_agent_grace.py
+++ b/tests/test_agent_grace.py
@@ -41,6 +41,19 @@
     router.agent.close()
 
 
+def test_a_shutdown_leaves_each_process_the_time_that_the_platform_leaves_it(tmp_path: Path) -> None:
+    # A shutdown with a short grace period killed the routers amid their answers, 0.8 s after SIGTERM here.
+    router = RouterWithShortGrace(tmp_path)
+    router.until(lambda: router.states() == ["ready"])
+    os.kill(router.instance.report()["pid"], signal.SIGSTOP)  # as if a stream ran on
+    router.sigterm()
+    end = time.monotonic() + EARLIEST_KILL_S
+    router.until(lambda: time.monotonic() > end)
+    assert router.instance.running and not any("killed" in line for line in router.log.lines)
+    router.until(lambda: router.service.loop.stopped)
+    assert any("instance killed" in line for line in router.log.lines)
+
+
 def test_the_old_process_of_an_upgrade_has_the_grace_period_of_the_fleet(tmp_path: Path) -> None:
     # It was killed 3.7 s after SIGTERM, whatever the fleet file said (here 20 s).
     router = OneRouter(tmp_path)
--- a/yewhook/agent/agent.py
+++ b/yewhook/agent/agent.py
@@ -20,7 +20,7 @@
 from ..recovery.start_order import next_to_start
 from ..service import Acceptor, listen
 from .fleet_file import FleetFile, InstanceSpec
-from .instance import Instance, State
+from .instance import MIN_KILL_TIMEOUT_S, Instance, State
 
 if TYPE_CHECKING:
     from ..recovery.desired_state_store import DesiredStateStore
@@ -58,7 +58,8 @@
 
         `stop` ends this process; `read_fleet_file` reads the fleet file for a reload.
         """
-        self.loop, self.fleet, self.grace, self.accept_after_term = loop, fleet, fleet.grace, 0.0
+        self.loop, self.fleet, self.accept_after_term = loop, fleet, 0.0
+        self.grace = max(MIN_KILL_TIMEOUT_S, fleet.grace)
         self._read_fleet_file = read_fleet_file
         self._stop = stop
         self._peers = peers = AgentPeers(loop, self)
@@ -79,7 +80,7 @@
             self._publish,
             Path(self._folder.name),
             self._store_desired_state,
-            lambda: self.fleet.grace,
+            lambda: self.grace,
         )
 
     def _restore_desired_state(self, instance: Instance) -> None:
@@ -245,7 +246,7 @@
 
         def apply() -> str:
             """Put everything into effect except the address at which the agent listens."""
-            self.fleet, self.grace = fleet, fleet.grace
+            self.fleet, self.grace = fleet, max(MIN_KILL_TIMEOUT_S, fleet.grace)
             specs = {spec.name: spec for spec in fleet.instances}
             for name in self.instances.keys() - specs.keys():
                 self.instances[name].stop()
