Slow start: servers that start together are no warm peers however they are listed

Cause: a router that has sent a role nothing uses a cold server as far as that is warm, if it has a warm peer. Servers that return together but are listed one after another passed for warm until their own turn.

Change: what a server was granted at its start is taken back when all of its role turn out to be cold.

Measured: three of the six new cases fail before (10, 22 and 57 sends at once from 20, 60 and 230 routers) and all pass now.

--- a/hopshed/control.py
+++ b/hopshed/control.py
@@ -191,9 +191,7 @@
             self.fleet.update(changed)
         else:
             self.fleet.rebuild()
-        self.slow_start.invalidate()
-        for worker in started:  # only now are all of its peers known
-            self.slow_start.start(worker, self._peers(worker), self.random.random(), now)
+        self.slow_start.servers_started(started, self._peers, self.random, now)
         if only_changes:
             self._apply_changes(changed, started)
         else:
--- a/hopshed/handover.py
+++ b/hopshed/handover.py
@@ -116,7 +116,7 @@
             for field in fields(LearnedServer):
                 setattr(worker, field.name, getattr(learned, field.name))
             worker.work_rate = state.work.get(number, Estimate())
-            worker.known_usable = False
+            worker.known_usable, worker.cold_grant = False, 0.0
     controller.slow_start.invalidate()
     controller.sessions, controller.popularity.seen = dict(state.sessions), dict(state.seen)
     controller.prefix_cache.uses = {(number, tag): use for number, tag, use in state.kept}
--- a/hopshed/slow_start.py
+++ b/hopshed/slow_start.py
@@ -8,6 +8,7 @@
 
 import math
 from collections.abc import Callable, Sequence
+from random import Random
 from typing import Generic, NamedTuple, TypeVar
 
 from .interface import Role, Settings
@@ -101,18 +102,44 @@
         # Where all servers are cold, nothing is measured.
         return max(measured, self.warm_rates_before_loss.get(role, 0.0))
 
-    def start(self, worker: Worker, peers: Sequence[Worker], draw: float, now: float) -> None:
-        """Set the token bucket of a server that has just started; `draw` is uniform from 0 to 1.
+    def servers_started(
+        self,
+        started: Sequence[Worker],
+        peers_of: Callable[[Worker], Sequence[Worker]],
+        random: Random,
+        now: float,
+    ) -> None:
+        """Set the token buckets of servers that have just started, once all servers of the list are known.
 
-        The random level lets only some routers send at once, on average `at_once` of all: the server has room
-        for about the random variation, a square root, of the sends that it can take in the window. A router
-        that has sent nothing to the role yet and finds warm servers there uses this one to the extent that it
-        is warm, as it sends there no more than its part of the requests.
+        `peers_of` returns the running servers of a server's role.
+        """
+        self.invalidate()
+        for worker in started:
+            draw = random.random()
+            worker.cold_grant = self._initial_grant(worker, peers_of(worker), now)
+            worker.cold_level = draw + worker.cold_grant
+        for peers in {worker.role: peers_of(worker) for worker in started}.values():
+            if all(self.is_cold(peer, now) for peer in peers):
+                self._withdraw_grants(peers, now)
+
+    def _initial_grant(self, worker: Worker, peers: Sequence[Worker], now: float) -> float:
+        """Sends that are added to a random initial level from 0 to 1.
+
+        The random level lets only some routers send at once. A router that has sent nothing to the role
+        yet and finds warm servers there uses this one to the extent that it is warm, as it sends there no
+        more than its part of the requests.
         """
-        share = self.capacity_share(worker, now)
         if self._cached(self._none_sent, self._none_sent_to_warm, worker.role, peers, now):
-            worker.cold_level = draw + share
-            return
+            return self.capacity_share(worker, now)
+        return self._measured_grant(worker, peers, now)
+
+    def _measured_grant(self, worker: Worker, peers: Sequence[Worker], now: float) -> float:
+        """The initial grant by which on average `at_once` of all routers send at once.
+
+        The server has room for about the random variation, a square root, of the sends that it can take in
+        the window.
+        """
+        share = self.capacity_share(worker, now)
         budget = (
             self._settings.fall_multiple
             * share
@@ -120,7 +147,17 @@
             * self._settings.fall_window
         )
         at_once = (math.sqrt(budget * self._settings.instances) + FIXED_BURST) / 2  # sends of all routers
-        worker.cold_level = draw + min(share, at_once / self._settings.instances)
+        return min(share, at_once / self._settings.instances)
+
+    def _withdraw_grants(self, peers: Sequence[Worker], now: float) -> None:
+        """Take back what was granted while a peer seemed to be warm, where all of them turn out to be cold.
+
+        Servers that start together may be listed one after another.
+        """
+        for peer in peers:
+            grant = min(peer.cold_grant, self._measured_grant(peer, peers, now))
+            peer.cold_level -= peer.cold_grant - grant
+            peer.cold_grant = grant
 
     def _none_sent_to_warm(self, role: Role, peers: Sequence[Worker], now: float) -> bool:
         """Whether there are warm peers, and this router has sent nothing to any peer."""
--- a/hopshed/state.py
+++ b/hopshed/state.py
@@ -128,6 +128,7 @@
         self.probe_failures = 0  # lost probes in a row
         self.cold_level = 0.0  # slow start: level of the token bucket, in sends of mean work
         self.cold_at = now  # time of `cold_level`
+        self.cold_grant = 0.0  # what of it was granted when the server started
         self.known_usable = False  # found running, warm, not ejected and not on trial, with no change since
         self.work_rate = Estimate()  # work sent there, in sends of mean work a second
         self.backlog = Backlog()  # reads of all routers there, if they share them by gossip
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -143,3 +143,28 @@
         sent_by_seed.append(sent)
     assert sum(sent_by_seed) > 0
     assert max(sent_by_seed) <= 3  # what any server can take by random variation, whatever its capacity
+
+
+@pytest.mark.parametrize("routers", [20, 60, 230])
+@pytest.mark.parametrize("together", [True, False], ids=["in one message", "one after another"])
+def test_servers_that_start_together_are_no_warm_peers_however_they_are_listed(
+    routers: int, together: bool
+) -> None:
+    # Listed one after another, the first found warm peers, and a quarter of all routers sent to it at once.
+    numbers = (21, 22, 23, 24)
+    others = tuple(server(n, 0) for n in READERS) + tuple(server(n, 1) for n in (WARM, *RESTARTED))
+    original = tuple(server(n, 2) for n in numbers)
+    restarted = tuple(server(n, 2, started=100.0) for n in numbers)
+    sent = dict.fromkeys(numbers, 0)
+    for number in range(routers):
+        router = Bench(
+            (*others, *original), seed=number, instances=routers, fall_multiple=MULTIPLE,
+            fall_window=WINDOW_S, cold_from=COLD_FROM, cold_time=COLD_TIME_S,
+        )  # fmt: skip
+        for message in [restarted] if together else [(one,) for one in restarted]:
+            router.do(ServersListed(ListKind.CHANGES, message))
+        for request in range(8):
+            for action in router.arrive(f"r{request}", prompt_tokens=100.0):
+                if isinstance(action, Send) and action.server in sent:
+                    sent[action.server] += 1
+    assert max(sent.values()) <= 3  # what any server can take by random variation, whatever its capacity
--- a/yewhook/commands/lab.py
+++ b/yewhook/commands/lab.py
@@ -89,7 +89,7 @@
     seed: SeedOption = 1,
     routers: Annotated[int, typer.Option(min=2, max=1000)] = 200,
     workers: Annotated[int, typer.Option(min=5, max=1000)] = 100,
-    load: Annotated[float, typer.Option(min=0.1, max=3.0, help="Turns per second and worker.")] = 0.75,
+    load: Annotated[float, typer.Option(min=0.1, max=10.0, help="Turns per second and worker.")] = 0.75,
     chart: Annotated[
         Path | None, typer.Option(help="Write a chart of the recovery in `power` to this file.")
     ] = None,
--- a/yewlab/mass.py
+++ b/yewlab/mass.py
@@ -53,6 +53,9 @@
 SILENT_FOR_S = 6.0
 LATE_REGISTER_DELAY_S = 5.0
 ZONE_LOST_FOR_S = 5.0
+COLD_SHARE = 0.45  # of the workers
+COLD_AFTER_S = 4.0  # from when they fall silent until they return
+COLD_REGISTER_DELAY_S = 0.7  # with REGISTER_LAG_S, a return is heard of some 1.4 s later
 SLOW_EVERY = 8  # one in so many workers is slow
 SLOW_SPEED = 0.15  # of a slow worker, as a fraction of its engine's
 FINAL_ANSWERS_S = 0.2  # from a router's last answers to the end of its process
@@ -261,8 +264,18 @@
         run.sim.at(at + run.random.uniform(0.0, REPLACED_WITHIN_S), partial(run.replace_worker, number))
 
 
+def cold(run: FleetRun, at: float) -> None:
+    """Nearly half of the workers fall silent and return cold, all at once; routers do not hear each other."""
+    run.gossip_lost = True
+    run.fleet.register_delay = COLD_REGISTER_DELAY_S
+    for number in run.sample_workers(COLD_SHARE):
+        run.sim.at(at, partial(run.fleet.silence, number))
+        run.sim.at(at + COLD_AFTER_S, partial(run.fleet.restart, number))
+
+
 DAYS: dict[str, Callable[[FleetRun, float], None]] = {
     "calm": calm, "roll": roll, "herd": herd, "zone": zone, "split": split, "join": join,
+    "cold": cold,
 }  # fmt: skip
 
 
