Test bed: no two processes get one address, and no outgoing connection has it

Cause: an address was taken from the system, closed, and used some 0.5 s later. On 127.0.0.1, as in tests/test_orders.py, an outgoing connection may have it too (inferred). The error named no address.

Change: an address is given out once, with a port below those of outgoing connections. The error of a bind names the address.

--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -27,23 +27,20 @@
 from yewhook.jsonrpc import RpcError
 from yewhook.operations.instance import Event
 from yewhook.service import Service
+from yewlab.processes.addresses import free_address
 
 TIMEOUT_S = 30.0  # an instance takes about a second to start, and longer on a busy machine
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return int(sock.getsockname()[1])
-
-
 def write_fleet(folder: Path, count: int = 2) -> Path:
     (folder / "settings.json").write_text(json.dumps(ENV))
     (folder / "fleet.zone").write_text("; no workers yet\n")
     text = '[agent]\nlisten = "127.0.0.1:0"\nrecords = "routers.zone"\ndomain = "r.test."\n'
     text += 'service = "_yewhook._tcp"\ngrace_s = 10\n'
     for n in range(count):
+        _, port = free_address("127.0.0.1")
         (folder / f"n{n}.toml").write_text(
-            f'listen = "127.0.0.1:{free_port()}"\nrecords = "fleet.zone"\ndomain = "f.test."\n'
+            f'listen = "127.0.0.1:{port}"\nrecords = "fleet.zone"\ndomain = "f.test."\n'
             'worker_service = "_w._tcp"\ntool_service = "_t._tcp"\nsettings = "settings.json"\n'
         )
         text += f'[[instance]]\nname = "n{n}"\ntoolcalls = "n{n}.toml"\n'
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -13,11 +13,12 @@
 
 import pytest
 from settings import ENV
-from test_agent import RunningAgent, free_port, published_names
+from test_agent import RunningAgent, published_names
 from typer.testing import CliRunner
 
 from yewhook.cli import app
 from yewhook.operations.orders import Order, OrderRefused, Orders
+from yewlab.processes.addresses import free_address
 
 
 class OneRouter(RunningAgent):
@@ -28,7 +29,7 @@
             "instanceId": "s-1", "hostPort": "127.0.0.1:9", "zone": "hall-a", "cell": 1,
             "machineType": "prefill", "lifecycle": "up", "weight": 1.0, "startedAtMs": 0,
         }  # fmt: skip
-        self.port = free_port()
+        _, self.port = free_address("127.0.0.1")
         self.config = folder / "n1.json"
         known = {"generation": 1, "reset": True, "instances": [entry]}
         raw = {"name": "n1", "listen": f"127.0.0.1:{self.port}", "discovery": "127.0.0.1:1", "seed": "1"}
--- a/yewhook/platform/peers.py
+++ b/yewhook/platform/peers.py
@@ -12,6 +12,7 @@
 
 from ..config import Address
 from ..loop import Loop, Timer
+from ..sockets import bind
 from ..transient_errors import retry_transient
 
 MAX_MESSAGE_BYTES = 256  # the platform's limit on datagrams
@@ -50,7 +51,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
         try:
-            sock.bind(self._listen)
+            bind(sock, self._listen)
         except OSError:
             sock.close()
             raise
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -16,6 +16,7 @@
 from .log import Log
 from .loop import Loop, Timer
 from .operations.instance import Event, FrontMode, Instance, State, step
+from .sockets import bind
 from .transient_errors import is_transient, retry_transient
 
 PROCESS_DESCRIPTORS = 16  # for the standard streams, the listeners, the selector and the wake-up pipe
@@ -58,7 +59,7 @@
     """Open a socket that listens at `address`; may block for retries. Raises OSError."""
     listener = retry_transient(lambda: socket.socket(socket.AF_INET, socket.SOCK_STREAM))
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind(address)
+    bind(listener, address)
     listener.listen(LISTEN_BACKLOG)
     listener.setblocking(False)
     return listener
--- a/yewlab/processes/agent.py
+++ b/yewlab/processes/agent.py
@@ -14,8 +14,9 @@
 
 from yewhook.jsonrpc import Id, Peer, PeerHandler, RpcError
 
+from .addresses import free_address
 from .http_connections import HOST
-from .instances import ROOT, free_address
+from .instances import ROOT
 from .operate import Script
 from .testbed import ProcessTestBed
 
@@ -39,7 +40,7 @@
     ) -> None:
         """`agent` has more lines for the table `[agent]`; `settings` makes an instance's settings file."""
         self.loop, self._folder = test_bed.loop, folder
-        self.address = free_address()
+        self.address = free_address(HOST)
         text = FLEET_FILE_HEAD.format(address=f"{HOST}:{self.address[1]}") + agent
         for instance in test_bed.instances:
             instance.close_listener()  # with an agent, the agent holds the clients' socket
--- a/yewlab/processes/instances.py
+++ b/yewlab/processes/instances.py
@@ -17,6 +17,7 @@
 from yewhook.config import Address
 from yewhook.loop import Loop
 
+from .addresses import free_address
 from .http_connections import HOST, HttpCall
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -89,7 +90,7 @@
 
     def start_process(self) -> Process:
         """Start another process, beside those that run already."""
-        mgmt_address = free_address()
+        mgmt_address = free_address(HOST)
         number = len(self.processes)
         config_path = self.folder / f"config-{number}.json"
         config_path.write_text(
@@ -165,10 +166,3 @@
         if not self.over:
             self._call.cancel()
             self._on_status(0)
-
-
-def free_address() -> Address:
-    """Return a loopback address that nobody listens at now."""
-    with socket.create_server((HOST, 0)) as sock:
-        address: Address = sock.getsockname()
-    return address
