--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -133,37 +133,35 @@
     assert core.client.calls == (["refuse"] if accepted else [])
 
 
+def send_whole_after_sigterm(p: Platform, seconds: float) -> FakePeer:
+    """Send a request whose last bytes arrive some seconds after SIGTERM, beside a stream; returns its client."""
+    start_stream(p)
+    client, data = FakePeer(p.parties["client"].address), ask("r2", lane="service-log", left="12000m")
+    p.parties["late"] = client
+    client.send(data[:-2])
+    p.wait(0.01)
+    p.sigterm()
+    stream_until(p, 0.5)
+    p.wait(seconds - 0.5)
+    if not client.ended:
+        client.send(data[-2:])
+    return client
+
+
 @pytest.mark.parametrize("env", [RESUME_ENV, NO_RESUME_ENV], ids=["resume", "no resume"])
 def test_a_request_that_arrives_whole_late_is_refused_before_the_earliest_kill(env: dict[str, Any]) -> None:
     # A kill would lose it, so it may not go on like earlier ones.
     p = Platform(FLEET, env=env)
-    start_stream(p)
-    slow, data = FakePeer(p.parties["client"].address), ask("r2", lane="service-log", left="12000m")
-    p.parties["slow"] = slow
-    slow.send(data[:-2])
-    p.wait(0.01)
-    p.sigterm()
-    stream_until(p, 1.0)
-    if not slow.ended:
-        slow.send(data[-2:])
+    client = send_whole_after_sigterm(p, 1.0)
     stream_until(p, EARLIEST_KILL_S - 1.1)
-    assert slow.heard.startswith("HTTP/1.1 503") and slow.ended
+    assert client.heard.startswith("HTTP/1.1 503") and client.ended
     p.end()
 
 
 def test_a_request_that_a_kill_would_lose_is_refused_by_a_process_that_noticed_sigterm_late() -> None:
     # It was accepted up to 0.6 s after the signal was noticed, and its stream ran on into the kill.
     p = Platform(FLEET, env=NO_RESUME_ENV)
-    start_stream(p)
-    late, data = FakePeer(p.parties["client"].address), ask("r2", lane="service-log", left="12000m")
-    p.parties["late"] = late
-    late.send(data[:-2])
-    p.wait(0.01)
-    p.sigterm()
-    stream_until(p, 0.5)
-    p.wait(EXCUSED_S - HELD_UP_S - 0.5 + 0.01)
-    if not late.ended:
-        late.send(data[-2:])
+    client = send_whole_after_sigterm(p, EXCUSED_S - HELD_UP_S + 0.01)
     stream_until(p, 0.3)
-    assert late.heard.startswith("HTTP/1.1 503") and late.ended
+    assert client.heard.startswith("HTTP/1.1 503") and client.ended
     p.end()
