--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -134,7 +134,7 @@
 
 
 def send_whole_after_sigterm(p: Platform, seconds: float) -> FakePeer:
-    """Send a request whose last bytes arrive some seconds after SIGTERM, beside a stream; returns its client."""
+    """Send a request whose last bytes arrive some seconds after SIGTERM, beside a stream."""
     start_stream(p)
     client, data = FakePeer(p.parties["client"].address), ask("r2", lane="service-log", left="12000m")
     p.parties["late"] = client
