Test of start times: a start is reported by the router's clock of the test

Cause: the test's router has a clock that begins at 1,000 s, and the start was reported by the machine's. On a machine that has been up for over 4,600 s an hour ago lay in that router's future, and was limited to now.

Change: the start is an hour from the test's clock, so that the machine's does not matter. What is asserted stays the same.

--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -52,9 +52,10 @@
 
 def join(p: Platform, step: float, reset: bool = False) -> float:
     """Report a server that joins now by a clock that is `step` seconds ahead; returns its age in seconds."""
+    unix_time = p.clock.now + time.time() - time.monotonic()  # of the router's clock, which is no real one
     joined = p.entry("writer") | {
         "instanceId": "s-joined",
-        "startedAtMs": round((time.time() + step) * 1000.0),
+        "startedAtMs": round((unix_time + step) * 1000.0),
     }
     message = {"generation": 2, "reset": reset, "instances": [joined]}
     p.parties["discovery"].send(chunk(json.dumps(message) + "\n"))
