Slow start: only grants for a warm peer are looked at again, not all of a role

Seen: with 3,200 servers of a role, all cold, each further start in the list took 10.2 ms, 0.02 ms before.

Change: the servers that were granted something for a warm peer are kept while they are cold, and only where there are any is the role looked at.

--- a/hopshed/slow_start.py
+++ b/hopshed/slow_start.py
@@ -46,6 +46,7 @@
         self.warm_rates_before_loss: dict[Role, float] = {}
         self._warm_rates: dict[Role, _CachedFigure[float]] = {}  # sends per second
         self._none_sent: dict[Role, _CachedFigure[bool]] = {}  # see _none_sent_to_warm
+        self._granted: dict[Role, list[Worker]] = {}  # cold servers with a grant for a warm peer
 
     def record_taken(self, worker: Worker, work: float, now: float) -> None:
         """Record that a server has taken an attempt: it has read it, or its stream has begun.
@@ -123,13 +124,14 @@
         `peers_of` returns the running servers of a server's role.
         """
         self.invalidate()
+        if started:
+            self._forget_warm_grants(now)
         for worker in started:
             draw = random.random()
             worker.cold_grant = self._initial_grant(worker, peers_of(worker), now)
             worker.cold_level = draw + worker.cold_grant
         for peers in {worker.role: peers_of(worker) for worker in started}.values():
-            if all(self.is_cold(peer, now) for peer in peers):
-                self._withdraw_grants(peers, now)
+            self._check_grants(peers, now)
 
     def _initial_grant(self, worker: Worker, peers: Sequence[Worker], now: float) -> float:
         """Sends that are added to a random initial level from 0 to 1.
@@ -138,9 +140,11 @@
         yet and finds warm servers there uses this one to the extent that it is warm, as it sends there no
         more than its part of the requests.
         """
-        if self._cached(self._none_sent, self._none_sent_to_warm, worker.role, peers, now):
-            return self.capacity_share(worker, now)
-        return self._measured_grant(worker, peers, now)
+        if not self._cached(self._none_sent, self._none_sent_to_warm, worker.role, peers, now):
+            return self._measured_grant(worker, peers, now)
+        if self.is_cold(worker, now):
+            self._granted.setdefault(worker.role, []).append(worker)
+        return self.capacity_share(worker, now)
 
     def _measured_grant(self, worker: Worker, peers: Sequence[Worker], now: float) -> float:
         """The initial grant by which on average `at_once` of all routers send at once.
@@ -158,15 +162,24 @@
         at_once = (math.sqrt(budget * self._settings.instances) + FIXED_BURST) / 2  # sends of all routers
         return min(share, at_once / self._settings.instances)
 
-    def _withdraw_grants(self, peers: Sequence[Worker], now: float) -> None:
-        """Take back what was granted while a peer seemed to be warm, where all of them turn out to be cold.
+    def _forget_warm_grants(self, now: float) -> None:
+        """Drop the grants of servers that are warm by now."""
+        for role, granted in self._granted.items():
+            self._granted[role] = [worker for worker in granted if self.is_cold(worker, now)]
+
+    def _check_grants(self, peers: Sequence[Worker], now: float) -> None:
+        """Take back what was granted for a warm peer, where all servers of the role turn out to be cold.
 
         Servers that start together may be listed one after another.
         """
-        for peer in peers:
-            grant = min(peer.cold_grant, self._measured_grant(peer, peers, now))
-            peer.cold_level -= peer.cold_grant - grant
-            peer.cold_grant = grant
+        granted = self._granted.get(peers[0].role) if peers else None
+        if not granted or any(not self.is_cold(peer, now) for peer in peers):
+            return
+        for worker in granted:
+            grant = min(worker.cold_grant, self._measured_grant(worker, peers, now))
+            worker.cold_level -= worker.cold_grant - grant
+            worker.cold_grant = grant
+        granted.clear()
 
     def _none_sent_to_warm(self, role: Role, peers: Sequence[Worker], now: float) -> bool:
         """Whether there are warm peers, and this router has sent nothing to any peer."""
