--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -7,7 +7,7 @@
 import pytest
 
 from yewhook.service import listen
-from yewlab.processes.addresses import EPHEMERAL_PORTS, free_address
+from yewlab.processes.addresses import EPHEMERAL_PORTS, FIRST_PORT, free_address
 
 HOST = "127.0.0.1"
 
@@ -17,7 +17,7 @@
     addresses = [free_address(HOST) for _ in range(2000)]
     first_ephemeral_port = int(EPHEMERAL_PORTS.read_text().split()[0])
     assert len(set(addresses)) == len(addresses)
-    assert all(port < first_ephemeral_port for _, port in addresses) or first_ephemeral_port <= 10_000
+    assert all(port < first_ephemeral_port for _, port in addresses) or first_ephemeral_port <= FIRST_PORT
 
 
 def test_an_address_in_use_is_not_returned(monkeypatch: pytest.MonkeyPatch) -> None:
