Test of reserved descriptors: its router's port is given to nobody else

Change: the port is from free_address, as in the other tests. Nothing that is asserted changes.

Measured: lint is clean; tests/test_reserve.py and tests/test_addresses.py pass.

--- a/tests/test_reserve.py
+++ b/tests/test_reserve.py
@@ -15,6 +15,8 @@
 from settings import ENV
 from test_platform import ask, chunk
 
+from yewlab.processes.addresses import free_address
+
 ROOT = Path(__file__).parent.parent
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 STEP_TIMEOUT_S = 20.0  # of real time, for each step of the test
@@ -45,9 +47,7 @@
         "weight": 1.0, "machineType": "mixed", "lifecycle": "up", "startedAtMs": 0,
     }  # fmt: skip
     path = tmp_path / "config.json"
-    listen = socket.create_server(("127.0.0.1", 0))
-    clients = listen.getsockname()
-    listen.close()
+    clients = free_address("127.0.0.1")
     path.write_text(json.dumps({
         "name": "n1", "listen": f"127.0.0.1:{clients[1]}", "discovery": f"127.0.0.1:{discovery_at[1]}",
         "seed": "1", "settings": ENV, "limits": {"sockets": sockets, "memory_mb": 32},
