Answers that are given up: log request, server, reason, bytes and silence

Now each answer that has begun and is not whole is logged when it ends, by whomever: request, attempt, server, reason, bytes, events, seconds since the last byte and the last event; in the JSON form these are fields. Further calls of discovery are logged, with what the calls had brought; a silent worker of the tool-calls front with its address and events.

The lab's servers and discovery can answer without end, by framing and pace, and its rules hold the 5 s after the last event.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -28,7 +28,7 @@
         received_parts: tuple[list[int], list[str]] = ([], [])
 
         class RecordingExchange:
-            unfinished, event_count, buffered_bytes = False, 0, 0
+            unfinished, event_count, buffered_bytes, label = False, 0, 0, "r1 attempt 0"
 
             def head_received(self, status: int, headers: dict[str, str]) -> None:
                 received_parts[0].append(status)
--- a/yewhook/platform/attempts.py
+++ b/yewhook/platform/attempts.py
@@ -36,6 +36,11 @@
         self._cached_tokens = 0
         self._load: interface.Load | None = None
 
+    @property
+    def label(self) -> str:
+        """The request's id and the attempt's number."""
+        return f"{self.request_id} attempt {self.number}"
+
     def begin(self, address: Address, compose: Callable[[], bytes], connect_timeout: float) -> None:
         """Send the request; the connection must be up within `connect_timeout` seconds."""
         self.connection = self.workers.pool.request(address, self, compose)
--- a/yewhook/platform/discovery.py
+++ b/yewhook/platform/discovery.py
@@ -60,6 +60,7 @@
         self._line = bytearray()  # the incomplete last line
         self._message: list[bytes] = []  # the lines so far of a message that spans several
         self._message_bytes = self._head_bytes = 0
+        self.received_bytes = self.message_count = 0
         self._channel = Channel.connect(loop, address, self)
         target = f"/v1/servers?watch=1&after={generation}"
         self._channel.send(http.head(f"GET {target} HTTP/1.1", {"Host": "discovery"}))
@@ -81,6 +82,7 @@
     def received(self, data: bytes) -> None:
         """Parse bytes from discovery; called by the channel."""
         self.last_received_at = self._loop.now
+        self.received_bytes += len(data)
         if self.answer_began_at == math.inf:
             self._head_bytes += len(data)
         try:
@@ -112,11 +114,21 @@
         """Parser callback: the response ends, which a watch never does."""
         raise ValueError("the response ended")
 
+    def __str__(self) -> str:
+        """What it has brought, for the log."""
+        host, port = self.address
+        age_s, silent_s = self._loop.now - self.began_at, self._loop.now - self.last_received_at
+        return (
+            f"{host}:{port}, {self.received_bytes} bytes and {self.message_count} messages in {age_s:.2f} s, "
+            f"the last byte {silent_s:.2f} s ago"
+        )
+
     def _line_received(self, line: bytes) -> None:
         """A message is on one line or, indented, on several; an empty line means that nothing changed."""
         if not line.strip():
             if self._message:
                 raise ValueError("an empty line within a message")
+            self.message_count += 1
             return self._watch.message_received(self, None)
         if not self._message and not line.lstrip().startswith(b"{"):
             raise ValueError("a message that is not a JSON object")
@@ -133,6 +145,7 @@
             return None  # this brace ended an inner object
         self._message.clear()
         self._message_bytes = 0
+        self.message_count += 1
         return self._watch.message_received(self, message)
 
 
@@ -210,10 +223,12 @@
     def _check(self) -> None:
         if not self._retry_timer.running and self._needs_call:
             if self._unanswered:
+                self._loop.log("discovery watch called", f"again beside {self._unanswered[-1]}")
                 self._open_call()
             else:
                 self._loop.log(
-                    "discovery watch silent", f"for {self._loop.now - self._last_message_at:.2f} s"
+                    "discovery watch silent",
+                    f"for {self._loop.now - self._last_message_at:.2f} s: {self._active or 'no call'}",
                 )
                 self._retry_timer.set(self._backoff.short_delay(), self._open_call)
         self._check_timer.set(CHECK_INTERVAL_S, self._check)
@@ -260,7 +275,7 @@
             self._active = None
         elif call in self._unanswered:
             self._unanswered.remove(call)
-        self._retry(why)
+        self._retry(f"{why}: {call}")
 
     def message_received(self, call: WatchCall, message: dict[str, Any] | None) -> None:
         """A call has brought a message, or None for an empty line. Raises ValueError."""
--- a/yewhook/platform/reservations.py
+++ b/yewhook/platform/reservations.py
@@ -18,7 +18,8 @@
     event_count = 0
     buffered_bytes = 0
 
-    def __init__(self, done: DoneCallback) -> None:
+    def __init__(self, request_id: str, done: DoneCallback) -> None:
+        self.label = f"{request_id} release"
         self._done, self._status = done, 0
 
     def head_received(self, status: int, headers: dict[str, str]) -> None:
@@ -45,4 +46,4 @@
         f"DELETE /internal/reservations/{request_id} HTTP/1.1",
         {"Host": f"{address[0]}:{address[1]}", "Content-Length": "0"},
     )
-    return pool.request(address, _DeleteExchange(done), lambda: request).close
+    return pool.request(address, _DeleteExchange(request_id, done), lambda: request).close
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -30,6 +30,10 @@
 
     event_count: int  # events of the stream so far
 
+    @property
+    def label(self) -> str:
+        """The request's id and what is exchanged, for the log."""
+
     @property
     def unfinished(self) -> bool:
         """Whether a part of the response, such as an event, has been received incompletely."""
@@ -68,6 +72,7 @@
         self._compose_request: Callable[[], bytes] | None = None  # set until the connection is up
         self._requested_at = pool.loop.now
         self._last_event_at = self._last_byte_at = 0.0
+        self._received_bytes = 0  # of the response
         self._silence_timer = Timer(pool.loop)
         self._timer.set(pool.connect_timeout, self._connect_timed_out)
 
@@ -81,6 +86,7 @@
         self.exchange, self._requested_at = exchange, self.pool.loop.now
         self._parser = httptools.HttpResponseParser(self)
         self._headers, self._head_bytes, self._field_count = {}, 0, 0
+        self._received_bytes = 0
         self._in_head = True
         self._head_begun = self._in_chunk = self._complete = self._reusable = False
         if self.is_connected:
@@ -88,11 +94,13 @@
         else:
             self._compose_request = compose
 
-    def close(self) -> None:
-        """Close at once, without calling the exchange."""
+    def close(self, reason: str = "given up by the router") -> None:
+        """Close at once, without calling the exchange; `reason` is for the log."""
         address, liveness = self.address, self.pool.liveness
         if self.exchange is not None and liveness.heard(address) < self._requested_at:
             liveness.record_missed(address, self.pool.loop.now)  # nothing has arrived since the request
+        if self.exchange is not None and self._received_bytes:
+            self._log_unfinished(self.exchange, reason)
         self.exchange = self._parser = None  # the parser refers back to this object
         self._timer.cancel()
         self._silence_timer.cancel()
@@ -100,6 +108,24 @@
         self.channel.abort()
         self.pool.discard(self)
 
+    def _log_unfinished(self, exchange: Exchange, reason: str) -> None:
+        """Log an answer that has begun and is not whole."""
+        now, server = self.pool.loop.now, f"{self.address[0]}:{self.address[1]}"
+        silent_s = now - self._last_byte_at
+        stalled_s = now - self._last_event_at if exchange.event_count else now - self._requested_at
+        self.pool.log(
+            "worker answer unfinished",
+            f"{exchange.label} at {server}: {reason}; {self._received_bytes} bytes, "
+            f"{exchange.event_count} events, last byte {silent_s:.3f} s and event {stalled_s:.3f} s ago",
+            exchange=exchange.label,
+            server=server,
+            reason=reason,
+            received_bytes=self._received_bytes,
+            events=exchange.event_count,
+            silent_s=round(silent_s, 3),
+            stalled_s=round(stalled_s, 3),
+        )
+
     # ---- the channel ----
 
     def connected(self) -> None:
@@ -125,6 +151,7 @@
         """Parse bytes from the worker; called by the channel."""
         self.pool.liveness.record_heard(self.address, self.pool.loop.now)
         self._last_byte_at = self.pool.loop.now
+        self._received_bytes += len(data)
         if self.exchange is None or self._parser is None:
             return self.close()  # bytes without a request
         if self._in_head:
@@ -157,7 +184,7 @@
 
     def shed(self) -> None:
         """Give up an answer that waits for its client, since memory is short."""
-        self._fail(Ending.CLIENT_STALLED)
+        self._fail(Ending.CLIENT_STALLED, "waits for its client, and memory is short")
 
     def _end_exchange(self) -> None:
         exchange, self.exchange = self.exchange, None
@@ -199,7 +226,7 @@
             self._silence_timer.set(UNREAD_GRACE_S, self._watch_stream)
         else:
             self.pool.log("stream stands still", f"{self.address[0]}:{self.address[1]}")
-            self._fail(Ending.WORKER_STALLED)
+            self._fail(Ending.WORKER_STALLED, "the stream stands still")
 
     def _partial_timed_out(self) -> None:
         if self.channel.paused:  # by the router, since the client is slow
@@ -208,7 +235,7 @@
 
     def _fail_malformed(self, why: str) -> None:
         self.pool.log("worker answer not understood", f"{self.address[0]}:{self.address[1]} {why}")
-        self._fail(Ending.GARBLED)
+        self._fail(Ending.GARBLED, why)
 
     def lost(self, error: OSError | None) -> None:
         """The connection was refused, closed or reset; called by the channel."""
@@ -218,9 +245,9 @@
             return self._fail(Ending.BROKEN_UNSENT)
         return self._fail(Ending.CLOSED if error is None else Ending.BROKEN)
 
-    def _fail(self, ending: Ending) -> None:
+    def _fail(self, ending: Ending, reason: str = "") -> None:
         exchange = self.exchange
-        self.close()
+        self.close(reason or ending.name.lower())
         if exchange is not None:
             exchange.failed(ending)
 
--- a/yewhook/toolcalls/workers.py
+++ b/yewhook/toolcalls/workers.py
@@ -39,6 +39,7 @@
         self._tool_calls: dict[Id, ToolCall | None] = {}
         self._heard_at = workers.loop.now
         self._streaming = False
+        self._event_count = 0  # passed on to the client
 
     def begin(self, address: Address, compose: Callable[[], Params], connect_timeout: float) -> None:
         """Send the attempt; `connect_timeout` in seconds. Raises OSError if no connection can be opened.
@@ -97,6 +98,7 @@
     def _forward(self, notification: StreamNotification) -> bool:
         self._heard_at = self.workers.loop.now
         forwarded = self.workers.listener.stream_event(self.request_id, self.number, notification)
+        self._event_count += forwarded
         if forwarded and not self._streaming:
             self._streaming = True
             self._check_silence()
@@ -113,7 +115,13 @@
         if self._tool_calls:
             self._heard_at = now  # the deadline of the tool call applies instead
         if now - self._heard_at >= silence_timeout_s:
-            self.workers.loop.log("worker fell silent in a stream", self.request_id)
+            host, port = self.peer.address
+            silent_s = now - self._heard_at
+            self.workers.loop.log(
+                "worker fell silent in a stream",
+                f"{self.request_id} attempt {self.number} at {host}:{port}: {self._event_count} events, "
+                f"the last one {silent_s:.3f} s ago",
+            )
             self.give_up("silent")
             return self.workers.end(self, Ending.WORKER_STALLED)
         wait = max(0.01, self._heard_at + silence_timeout_s - now)
--- a/yewlab/processes/clients.py
+++ b/yewlab/processes/clients.py
@@ -233,7 +233,7 @@
 
     def body_received(self, data: bytes) -> None:
         """Note the first event of the stream."""
-        if self.status == 200 and not self.streaming:
+        if self.status == 200 and not self.streaming and b"data:" in data:
             self.streaming, self.first_event_at = True, self.clients.loop.now
             self.clients.rules.began(self.id, self.clients.loop.now)
 
--- a/yewlab/processes/discovery.py
+++ b/yewlab/processes/discovery.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 from yewhook.loop import Loop
 from yewhook.worker_list import server_id
 
+from .endless_answers import EndlessAnswer, write_endlessly
 from .http_connections import Listener, Request, ServerConnection
 
 HEARTBEAT_INTERVAL_S = 2.0  # interval of the empty lines on a watch
@@ -61,6 +63,7 @@
         self.silent = False  # if set, nothing is sent on the watches, not even heartbeats
         # If set, requests are answered with the full list under this older generation, without drains.
         self.stale_generation: int | None = None
+        self.endless_answers: deque[EndlessAnswer] = deque()  # to the next calls
         self._watches: dict[ServerConnection, int] = {}  # connection -> the generation last sent
         self._listener = Listener(discovery.loop, self._on_accepted)
         self.address = self._listener.address
@@ -72,6 +75,8 @@
     def _on_request(self, connection: ServerConnection, request: Request) -> None:
         after = int(request.path.partition("after=")[2] or 0)
         connection.begin_stream()
+        if self.endless_answers:
+            return write_endlessly(self.discovery.loop, connection, self.endless_answers.popleft())
         if self.stale_generation is not None:
             return self._answer_stale(connection)
         self._watches[connection] = after if 0 < after <= self.discovery.generation else 0
@@ -120,6 +125,13 @@
                 connection.send_event(b"\n")
         self.discovery.loop.after(HEARTBEAT_INTERVAL_S, self._send_heartbeats)
 
+    def spoil_watches(self, answer: EndlessAnswer, further_calls: int = 0) -> None:
+        """Go on with bytes that never end on the open watches, and on so many further calls."""
+        for connection in self._watches:
+            write_endlessly(self.discovery.loop, connection, answer)
+        self._watches.clear()
+        self.endless_answers.extend([answer] * further_calls)
+
     def silence_watches(self) -> None:
         """Leave the watches open, but send nothing on them any more."""
         self._watches.clear()
--- a/yewlab/processes/workers.py
+++ b/yewlab/processes/workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import deque
 from dataclasses import dataclass, field
 from functools import partial
 from random import Random
@@ -17,6 +18,7 @@
 from yewlab.rules import Rules
 from yewlab.workload import Traffic
 
+from .endless_answers import EndlessAnswer, write_events
 from .http_connections import Listener, LoopClock, Request, ServerConnection
 
 EVENT_INTERVAL_S = 0.3  # between the events of a stream
@@ -39,6 +41,7 @@
     job: Job = field(init=False)
     streaming: bool = False
     ended: bool = False
+    ended_by_router_only: bool = False  # its answer never ends
     unwritten: bytes = b""  # the rest of an event that is being written
 
 
@@ -53,6 +56,8 @@
         self.held_states: dict[str, Worker] = {}  # request id -> the reader that holds its state
         self.token_event = TOKEN_EVENT  # sent every EVENT_INTERVAL_S in a stream
         self.event_writing_s = 0.0  # from the first byte of an event to its last
+        # Answers that never end, by the role of their server; each is given once, in place of a sound one
+        self.endless_answers: dict[Role, deque[EndlessAnswer]] = {role: deque() for role in Role}
         self.costs = Costs()
         self._check_periodically()
 
@@ -150,11 +155,13 @@
     # ---- progress ----
 
     def _on_job_event(self, attempt: Attempt, what: str) -> None:
-        if attempt.ended:
+        if attempt.ended or attempt.ended_by_router_only:
             return
         if self.hung:
             self.workers.loop.after(HUNG_POLL_S, lambda: self._on_job_event(attempt, what))
             return
+        if what != "served" and (answers := self.workers.endless_answers[self.server.engine.role]):
+            return self._answer_endlessly(attempt, answers.popleft(), is_read=what == "read")
         if what == "read":
             self.workers.held_states[attempt.request_id] = self
             if not self.answers_lost:
@@ -180,6 +187,20 @@
             attempt.connection.send_event(STOP_EVENT + b"data: " + usage + b"\n\ndata: [DONE]\n\n" + report)
             attempt.connection.end_stream()
 
+    def _answer_endlessly(self, attempt: Attempt, answer: EndlessAnswer, is_read: bool) -> None:
+        """Answer without end; the attempt counts as out until its router closes the connection."""
+        workers = self.workers
+        if is_read:
+            workers.held_states[attempt.request_id] = self
+        else:
+            workers.held_states.pop(attempt.request_id, None)
+        attempt.ended_by_router_only = True
+
+        def event_written() -> None:
+            workers.rules.last_event(attempt.request_id, workers.loop.now)
+
+        write_events(workers.loop, attempt.connection, answer, event_written)
+
     def _send_events(self, attempt: Attempt) -> None:
         if not attempt.ended:
             writing_s = 0.0
--- a/yewlab/rules.py
+++ b/yewlab/rules.py
@@ -14,6 +14,7 @@
 # apply the stricter figures.
 CHANCE_DEVIATIONS, CHANCE_REQUESTS = 2.0, 2.0
 LEFT_GRACE_S = 0.1  # after a client has closed, within which an attempt may still begin
+MAX_WAIT_AFTER_EVENT_S = 5.0  # of a client, after the last event of a server that runs
 SAME_START_S = 0.01  # tolerance, since lists state starts in whole milliseconds of another clock
 
 
@@ -28,6 +29,7 @@
     streaming: bool = False
     overlap_since: float | None = None  # since when more than one attempt has been out
     left_at: float | None = None  # when its client closed its connection
+    last_event_at: float | None = None  # of an answer that never ends
 
 
 @dataclass(slots=True)
@@ -80,8 +82,18 @@
             self._report(now, f"{request} answered twice")
         if not entry.streaming and (late := self._lateness(entry, now)) > 0:
             self._report(now, f"{request} answered {late:.3f} s late")
+        self._check_wait(request, entry, now)
         return self.refused(request, now) if refused else None
 
+    def _check_wait(self, request: str, entry: _Request, now: float) -> None:
+        """Check how long the client has waited since the last event of an answer that never ends."""
+        if entry.last_event_at is None:
+            return
+        waited = now - entry.last_event_at
+        if waited > MAX_WAIT_AFTER_EVENT_S + SLACK_S:
+            self._report(now, f"{request} was left open for {waited:.3f} s after its last event")
+            entry.last_event_at = None  # so that it is reported once
+
     def refused(self, request: str, now: float) -> None:
         """The client was told that the request did not run, which must be true of an unsafe one."""
         entry = self._open.get(request)
@@ -125,6 +137,11 @@
             self._report(now, f"{request} sent to {server}, told off {now - since:.3f} s before")
         return None
 
+    def last_event(self, request: str, now: float) -> None:
+        """A server wrote an event of an answer that never ends, perhaps its last one."""
+        if (entry := self._open.get(request)) is not None and not entry.answers:
+            entry.last_event_at = now
+
     def ended(self, request: str, never_ran: bool, now: float) -> None:
         """An attempt of the request ended; `never_ran` = it had no effect at its server."""
         if (entry := self._open.get(request)) is not None:
@@ -192,6 +209,8 @@
                     f"{request} has {entry.attempts_out} attempts out for {now - entry.overlap_since:.3f} s",
                 )
                 entry.overlap_since = None  # so that it is reported once
+            if entry.answers == 0:
+                self._check_wait(request, entry, now)
             if entry.answers == 0 and not entry.streaming and self._lateness(entry, now) > 0:
                 self._report(now, f"{request} was never answered")
                 entry.answers = 1
