--- a/yewlab/processes/endless_answers.py
+++ b/yewlab/processes/endless_answers.py
@@ -1,4 +1,4 @@
-"""Answers of servers and of discovery that never end, although bytes keep arriving: their framing and pace."""
+"""Answers of servers and of discovery that never end, although bytes keep arriving: framing and pace."""
 
 from __future__ import annotations
 
