Workers' answers: refuse a stated size where it is stated

Callers saw: streams left open as long as a server wrote, past the 5 s, without a line in the log, where a chunk or a body stated gigabytes and events went on in it.

Cause: the parser reports no chunk's size, so none was checked, and each event within a chunk that can never end reset every clock. Class: a statement is checked when it is reached, not when it is read.

Change: one reader of framing (platform/framing.py) follows each read through heads, sized bodies, chunks and trailers before the parser gets it.

New tests of sizes in pieces, extensions, trailers and the largest body pass, as do those of answers and of the platform.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -169,3 +169,33 @@
     assert not p.parties["client"].ended
     p.play("wait 0.6")
     assert p.parties["client"].ended
+
+
+@pytest.mark.parametrize("size", [b"40001", b"0000040001", b"40001;a=b", b"7fffffffffffffff"])
+@pytest.mark.parametrize("cut", [1, 3, 100_000])
+def test_a_chunk_that_states_more_than_a_body_may_have_is_refused_where_it_is_stated(
+    size: bytes, cut: int
+) -> None:
+    data = HEAD + chunk("x") + size
+    parts = [data[begin : begin + cut] for begin in range(0, len(data), cut)]
+    assert receive(*parts) == ([200], ["x", "GARBLED"], False)
+
+
+def test_the_line_of_a_size_may_not_be_endless() -> None:
+    assert receive(HEAD, *[b"0" * 100] * 11) == ([200], ["GARBLED"], False)
+    assert receive(HEAD, b"1;", *[b"a" * 100] * 11) == ([200], ["GARBLED"], False)
+
+
+def test_chunks_of_the_largest_body_and_trailers_are_read_whole() -> None:
+    data = "x" * 256 * 1024
+    parts = receive(HEAD + b"40000\r\n" + data.encode() + b"\r\n", b"0;a=b\r\nX-T: 1\r\n", b"\r\n")
+    assert parts == ([200], [data, "whole"], True)
+
+
+def test_a_body_by_length_is_refused_where_too_much_is_stated() -> None:
+    assert receive(b"HTTP/1.1 200 OK\r\nContent-Length: 262145\r\n\r\n") == ([], ["GARBLED"], False)
+    assert receive(b"HTTP/1.1 202 OK\r\nContent-Length: 2\r\n\r\n{", b"}") == (
+        [202],
+        ["{", "}", "whole"],
+        True,
+    )
--- a/yewhook/platform/http.py
+++ b/yewhook/platform/http.py
@@ -4,6 +4,8 @@
 
 import re
 
+from .framing import FramingLimits
+
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
     411: "Length Required", 413: "Content Too Large", 429: "Too Many Requests",
@@ -24,6 +26,7 @@
 PRINTABLE_ASCII = re.compile(r"[ -~]{0,1024}")  # field values that any worker can read
 MAX_BODY_BYTES = 256 * 1024
 MAX_HEAD_BYTES = 32 * 1024
+ANSWER_LIMITS = FramingLimits(head=MAX_HEAD_BYTES, stated=MAX_BODY_BYTES)  # a stream may be longer in all
 MAX_FIELDS = 128  # of a head with its trailers; a parsed field takes far more memory than its bytes
 MAX_EVENT_BYTES = 64 * 1024  # a worker sends an event every few tokens
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -14,6 +14,7 @@
 from ..loop import Loop, Timer
 from ..memory_budget import FIELD_BYTES, ShedOrder, data_cost
 from . import http
+from .framing import FramedReader, FramingError
 
 # Silence after which a running stream is broken off. Clients that can resume it elsewhere are better off
 # then. For the others the limit is higher, but no client may be kept waiting for 5 s, even where the bytes of
@@ -65,14 +66,14 @@
         self.idle_since = 0.0
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: dict[str, str] = {}
-        self._head_bytes = self._field_count = 0
+        self._reader: FramedReader | None = None
+        self._field_count = 0
         self._in_head = self._head_begun = self._in_chunk = self._complete = self._reusable = False
         self.channel = Channel.connect(pool.loop, address, self)
         self._timer = Timer(pool.loop)  # for connecting, then for a partial head, chunk or event
         self._compose_request: Callable[[], bytes] | None = None  # set until the connection is up
         self._requested_at = pool.loop.now
         self._last_event_at = self._last_byte_at = 0.0
-        self._received_bytes = 0  # of the response
         self._silence_timer = Timer(pool.loop)
         self._timer.set(pool.connect_timeout, self._connect_timed_out)
 
@@ -85,8 +86,8 @@
         """Send a request; `compose` is called as it is sent, so that the remaining time in it is exact."""
         self.exchange, self._requested_at = exchange, self.pool.loop.now
         self._parser = httptools.HttpResponseParser(self)
-        self._headers, self._head_bytes, self._field_count = {}, 0, 0
-        self._received_bytes = 0
+        self._reader = FramedReader(self._parser, http.ANSWER_LIMITS)
+        self._headers, self._field_count = {}, 0
         self._in_head = True
         self._head_begun = self._in_chunk = self._complete = self._reusable = False
         if self.is_connected:
@@ -99,9 +100,9 @@
         address, liveness = self.address, self.pool.liveness
         if self.exchange is not None and liveness.heard(address) < self._requested_at:
             liveness.record_missed(address, self.pool.loop.now)  # nothing has arrived since the request
-        if self.exchange is not None and self._received_bytes:
+        if self.exchange is not None and self._reader is not None and self._reader.received_bytes:
             self._log_unfinished(self.exchange, reason)
-        self.exchange = self._parser = None  # the parser refers back to this object
+        self.exchange = self._parser = self._reader = None  # the parser refers back to this object
         self._timer.cancel()
         self._silence_timer.cancel()
         self.pool.loop.memory.hold(self, 0)
@@ -110,17 +111,20 @@
 
     def _log_unfinished(self, exchange: Exchange, reason: str) -> None:
         """Log an answer that has begun and is not whole."""
+        assert self._reader is not None
+        received_bytes, stated_bytes = self._reader.received_bytes, self._reader.stated_bytes
         now, server = self.pool.loop.now, f"{self.address[0]}:{self.address[1]}"
         silent_s = now - self._last_byte_at
         stalled_s = now - self._last_event_at if exchange.event_count else now - self._requested_at
         self.pool.log(
             "worker answer unfinished",
-            f"{exchange.label} at {server}: {reason}; {self._received_bytes} bytes, "
+            f"{exchange.label} at {server}: {reason}; {received_bytes} bytes, last stated {stated_bytes}, "
             f"{exchange.event_count} events, last byte {silent_s:.3f} s and event {stalled_s:.3f} s ago",
             exchange=exchange.label,
             server=server,
             reason=reason,
-            received_bytes=self._received_bytes,
+            received_bytes=received_bytes,
+            stated_bytes=stated_bytes,
             events=exchange.event_count,
             silent_s=round(silent_s, 3),
             stalled_s=round(stalled_s, 3),
@@ -151,17 +155,13 @@
         """Parse bytes from the worker; called by the channel."""
         self.pool.liveness.record_heard(self.address, self.pool.loop.now)
         self._last_byte_at = self.pool.loop.now
-        self._received_bytes += len(data)
-        if self.exchange is None or self._parser is None:
+        if self.exchange is None or self._reader is None:
             return self.close()  # bytes without a request
         if self._in_head:
             self._last_event_at = self.pool.loop.now
-            self._head_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-            if self._in_head and self._head_bytes > http.MAX_HEAD_BYTES:
-                raise httptools.HttpParserError("the head is too large")
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._reader.feed(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, FramingError) as error:
             self._reusable = False
             if not self._complete:  # bytes after a complete response make only the connection unusable
                 return self._fail_malformed(str(error.__context__ or error))
@@ -278,6 +278,8 @@
             self._headers = {}
             return
         self._in_head = False
+        if self._reader is not None:
+            self._reader.head_complete(self._headers, is_response=True)
         if self.exchange is not None:
             self.exchange.head_received(status, self._headers)
             if status == 200:
@@ -304,7 +306,10 @@
         """Parser callback: a response ends."""
         if self._in_head:  # an informational one
             self._head_begun = False
-        elif not self._complete and self._parser is not None:
+            return
+        if self._reader is not None:
+            self._reader.message_complete()
+        if not self._complete and self._parser is not None:
             self._complete = True
             self._reusable = self._parser.should_keep_alive()  # the parser forgets it after this callback
 
