Failing test: clients left waiting on answers without events

Real processes: sound chunks with blank lines, comments, events without data, empty or null data, and repeated last events, also as the first bytes of an answer.

--- a/tests/processes/test_endless_answers.py
+++ b/tests/processes/test_endless_answers.py
@@ -16,6 +16,7 @@
 ROLES = (Role.READER,) * 3 + (Role.WRITER,) * 3
 TURNS_PER_S = 8.0
 ANSWERS_OF_EACH_KIND = 2
+
 SETTLE_S = 12.0  # for all of them to be given, and ended
 
 
@@ -42,3 +43,8 @@
 # Guards against clients left waiting on answers whose stated size is never reached.
 def test_clients_are_not_left_waiting_for_answers_that_state_more_than_a_body_may_have(case: Case) -> None:
     answer_endlessly(case, {Role.WRITER: endless_answers.OVERSIZED_ANSWERS})
+
+
+# Guards against clients left waiting on streams whose framing is sound and which bring no event.
+def test_clients_are_not_left_waiting_for_answers_without_events(case: Case) -> None:
+    answer_endlessly(case, {Role.WRITER: endless_answers.EMPTY_ANSWERS})
