Workers' answers: only events with content are progress, or begin a response

Callers saw: streams of blank lines, of events without data or with null, or of repeated last events were left open as long as their server wrote; where such bytes or comments came first, the client's time was stopped and no answer followed.

Cause: each blank line was counted as an event, and any bytes up to one began the response. Class: what the other side can repeat for ever counted as progress.

Change: two clocks of an answer (progress.py): silence, and the last useful unit, which is an event with data up to the last one ([DONE]). What has no content is passed on within a stream, as before, but does not begin it; blank lines, which are no events, are dropped. A stream that was paused for its client counts from when it is read again.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -199,3 +199,30 @@
         ["{", "}", "whole"],
         True,
     )
+
+
+# Guards against a client's time that is stopped by what is no event, so that it is never answered.
+@pytest.mark.parametrize(
+    "part", ["\n\n", ": comment\n\n", "data:\n\n", "data: null\n\n", "event: a\nid: 1\n\n"]
+)
+def test_what_has_no_content_does_not_begin_a_response(p: Platform, part: str) -> None:
+    p.play(begin("left=2000m") + "writer send stream\n")
+    for _ in range(6):
+        p.parties["writer"].send(chunk(part))
+        p.wait(0.3)
+    assert "200 OK" not in p.parties["client"].text
+    p.play("wait 0.3\nclient expect HTTP/1.1 503\nwriter expect closed")
+
+
+def test_comments_within_a_stream_are_forwarded(p: Platform) -> None:
+    p.play(begin() + "writer send stream\nwriter send event text=a\nclient expect a\n")
+    p.parties["writer"].send(chunk(": comment\n\n") + chunk("\n\n") + chunk("data:[DONE]\n\n") + b"0\r\n\r\n")
+    p.play("client expect : comment\nclient expect [DONE]\nclient expect 0")
+
+
+def test_a_stream_that_goes_on_after_its_last_event_is_ended(p: Platform) -> None:
+    p.play(begin() + "writer send stream\nwriter send event text=a\nclient expect a\n")
+    for _ in range(16):
+        p.parties["writer"].send(chunk("data: [DONE]\n\n"))
+        p.wait(0.3)
+    p.play("client expect closed")
--- a/yewhook/platform/attempts.py
+++ b/yewhook/platform/attempts.py
@@ -28,7 +28,8 @@
     def __init__(self, workers: HttpWorkers, request_id: str, attempt: int) -> None:
         self.workers, self.request_id, self.number = workers, request_id, attempt
         self.connection: WorkerConnection | None = None
-        self.event_count = 0
+        self.event_count = 0  # of those with content, up to the last one
+        self._last_event_received = False
         self._status = 0
         self._headers: dict[str, str] = {}
         self._body = bytearray()
@@ -62,7 +63,7 @@
     def pause(self, paused: bool) -> None:
         """Stop or resume reading the response."""
         if self.connection is not None:
-            self.connection.channel.pause(paused)
+            self.connection.pause(paused)
 
     def catch_up(self) -> None:
         """Read what has arrived so far."""
@@ -100,14 +101,19 @@
             self._pass_on(event)
 
     def _pass_on(self, event: bytes) -> None:
-        """Pass on an event unchanged, except for load reports, which are meant for routers only."""
+        """Pass on an event unchanged, except for load reports, which are meant for routers only.
+
+        What has no content does not begin the response: before it, another worker may be asked.
+        """
         while event.startswith(LOAD_REPORT_COMMENT):
             line, _, event = event.partition(b"\n")
             self._read_load_report(line[len(LOAD_REPORT_COMMENT) :])
             event = event.lstrip(b"\r\n")
-        if not event:
+        has_content = http.has_content(event)
+        if not (has_content or (self.event_count and event.strip())):
             return
-        self.event_count += not event.startswith(b":")
+        self.event_count += has_content and not self._last_event_received
+        self._last_event_received = self._last_event_received or event.startswith(http.LAST_EVENTS)
         if b'"usage"' in event:
             self._cached_tokens = cached_tokens(event) or self._cached_tokens
         self.workers.listener.stream_event(self.request_id, self.number, event)
--- a/yewhook/platform/http.py
+++ b/yewhook/platform/http.py
@@ -29,6 +29,8 @@
 ANSWER_LIMITS = FramingLimits(head=MAX_HEAD_BYTES, stated=MAX_BODY_BYTES)  # a stream may be longer in all
 MAX_FIELDS = 128  # of a head with its trailers; a parsed field takes far more memory than its bytes
 MAX_EVENT_BYTES = 64 * 1024  # a worker sends an event every few tokens
+EMPTY_VALUES = frozenset({b"", b"null", b"{}", b"[]", b'""'})  # of an event's data
+LAST_EVENTS = (b"data: [DONE]", b"data:[DONE]")
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 
@@ -69,6 +71,12 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+def has_content(event: bytes) -> bool:
+    """Whether an event has data that is not empty; comments and other fields alone are no event."""
+    data_lines = (line for line in event.splitlines() if line.startswith(b"data:"))
+    return any(line[len(b"data:") :].strip() not in EMPTY_VALUES for line in data_lines)
+
+
 class EventSplitter:
     """Splits a stream of server-sent events into whole events, wherever the reads divide it."""
 
--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 import httptools
@@ -13,6 +14,7 @@
 from ..core.ending import Ending
 from ..loop import Loop, Timer
 from ..memory_budget import FIELD_BYTES, ShedOrder, data_cost
+from ..progress import AnswerProgress
 from . import http
 from .framing import FramedReader, FramingError
 
@@ -22,6 +24,7 @@
 STREAM_SILENCE_S = 2.5
 STREAM_SILENCE_NO_RESUME_S = MAX_EVENT_TIME_S = 4.5
 UNREAD_GRACE_S = 0.02  # added to these limits where the kernel holds unread bytes at that moment
+MAX_UNREAD_GRACE_S = 0.2  # that is added in all, since bytes may arrive without end
 REUSE_DELAY_S = 0.03  # for which a kept connection rests before its next exchange
 PARTIAL_TIMEOUT_S = 1.0  # without a byte within a head, a chunk or an event
 
@@ -73,7 +76,7 @@
         self._timer = Timer(pool.loop)  # for connecting, then for a partial head, chunk or event
         self._compose_request: Callable[[], bytes] | None = None  # set until the connection is up
         self._requested_at = pool.loop.now
-        self._last_event_at = self._last_byte_at = 0.0
+        self._progress = AnswerProgress(pool.loop.now)
         self._silence_timer = Timer(pool.loop)
         self._timer.set(pool.connect_timeout, self._connect_timed_out)
 
@@ -88,6 +91,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._reader = FramedReader(self._parser, http.ANSWER_LIMITS)
         self._headers, self._field_count = {}, 0
+        self._progress.restart(self._requested_at)
         self._in_head = True
         self._head_begun = self._in_chunk = self._complete = self._reusable = False
         if self.is_connected:
@@ -114,8 +118,7 @@
         assert self._reader is not None
         received_bytes, stated_bytes = self._reader.received_bytes, self._reader.stated_bytes
         now, server = self.pool.loop.now, f"{self.address[0]}:{self.address[1]}"
-        silent_s = now - self._last_byte_at
-        stalled_s = now - self._last_event_at if exchange.event_count else now - self._requested_at
+        silent_s, stalled_s = now - self._progress.last_byte_at, now - self._progress.last_unit_at
         self.pool.log(
             "worker answer unfinished",
             f"{exchange.label} at {server}: {reason}; {received_bytes} bytes, last stated {stated_bytes}, "
@@ -154,11 +157,9 @@
     def received(self, data: bytes) -> None:
         """Parse bytes from the worker; called by the channel."""
         self.pool.liveness.record_heard(self.address, self.pool.loop.now)
-        self._last_byte_at = self.pool.loop.now
+        self._progress.byte_received(self.pool.loop.now)
         if self.exchange is None or self._reader is None:
             return self.close()  # bytes without a request
-        if self._in_head:
-            self._last_event_at = self.pool.loop.now
         try:
             self._reader.feed(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, FramingError) as error:
@@ -180,7 +181,7 @@
     @property
     def progressed_at(self) -> float:
         """When the last byte arrived, in seconds of the loop's clock."""
-        return self._last_byte_at
+        return self._progress.last_byte_at
 
     def shed(self) -> None:
         """Give up an answer that waits for its client, since memory is short."""
@@ -213,17 +214,23 @@
         else:
             self._timer.cancel()
 
-    def _watch_stream(self) -> None:
-        """Break off a silent stream: it has no deadline, and a worker that hangs never ends it."""
+    def pause(self, paused: bool) -> None:
+        """Stop or resume reading; what the worker sent meanwhile has not been late."""
+        if self.channel.paused and not paused:
+            self._progress.restart(self.pool.loop.now)
+        self.channel.pause(paused)
+
+    def _watch_stream(self, grace_s: float = 0.0) -> None:
+        """Break off a stream that is silent or brings no event: it has no deadline, and may never end."""
         now = self.pool.loop.now
         if self.channel.paused:  # by the router, since the client is slow
-            self._last_event_at = self._last_byte_at = now
-        silent_at = max(self._last_event_at, self._last_byte_at) + self.pool.stream_silence_s
-        left = min(silent_at, self._last_event_at + MAX_EVENT_TIME_S) - now
+            self._progress.restart(now)
+        left = self._progress.ends_at(self.pool.stream_silence_s, MAX_EVENT_TIME_S) - now
         if left > 0:
             self._silence_timer.set(left, self._watch_stream)
         elif self.channel.unread:  # it arrived in this turn of the loop
-            self._silence_timer.set(UNREAD_GRACE_S, self._watch_stream)
+            grace = partial(self._watch_stream, grace_s + UNREAD_GRACE_S)
+            self._silence_timer.set(UNREAD_GRACE_S, grace)
         else:
             self.pool.log("stream stands still", f"{self.address[0]}:{self.address[1]}")
             self._fail(Ending.WORKER_STALLED, "the stream stands still")
@@ -283,6 +290,7 @@
         if self.exchange is not None:
             self.exchange.head_received(status, self._headers)
             if status == 200:
+                self._progress.restart(self.pool.loop.now)
                 self._watch_stream()
 
     def on_body(self, body: bytes) -> None:
@@ -291,7 +299,7 @@
             event_count = exchange.event_count
             exchange.body_received(body)
             if exchange.event_count > event_count:  # bytes without an event do not show that it progresses
-                self._last_event_at = self.pool.loop.now
+                self._progress.unit_received(self.pool.loop.now)
 
     def on_chunk_header(self) -> None:
         """Parser callback: a chunk begins."""
--- a/yewlab/processes/endless_answers.py
+++ b/yewlab/processes/endless_answers.py
@@ -16,6 +16,7 @@
 STATED_BYTES = 4_000_000_000
 OPEN_CHUNK = b"%x\r\n" % STATED_BYTES
 INTERVAL_S = 0.24  # between two writes of an answer that never ends
+MAX_UNSENT_BYTES = 1 << 20  # by an answer at full speed
 ENDLESS_S = 20.0  # after which the server closes the connection all the same, so that a test ends
 HEARTBEAT_S = 2.0  # between two empty lines of discovery
 
@@ -58,6 +59,10 @@
     EndlessAnswer("an event", http.chunk(b"data: "), http.chunk(b"x")),
     EndlessAnswer("trailers", b"0\r\nX-Trailer: ", b"x"),
 )
+# Of writers: more arrives than the router reads.
+FLOODING_ANSWERS = (
+    EndlessAnswer("comments at full speed", b"", http.chunk(b": here\n\n") * 5000, interval_s=0.005),
+)
 # Of writers and readers: no answer to a request.
 UNSTREAMED_ANSWERS = (
     EndlessAnswer("head", b"", b"x", sound_events=0, head=b"HTTP/1.1 200 OK\r\nX-Field: "),
@@ -102,7 +107,8 @@
         if loop.now >= ends_at:
             connection.channel.abort()
         elif not connection.channel.closed:
-            connection.channel.send(answer.repeated)
+            if connection.channel.unsent < MAX_UNSENT_BYTES:
+                connection.channel.send(answer.repeated)
             loop.after(answer.interval_s, repeat)
 
     def begin() -> None:
