--- a/tests/processes/test_endless_answers.py
+++ b/tests/processes/test_endless_answers.py
@@ -48,3 +48,8 @@
 # Guards against clients left waiting on streams whose framing is sound and which bring no event.
 def test_clients_are_not_left_waiting_for_answers_without_events(case: Case) -> None:
     answer_endlessly(case, {Role.WRITER: endless_answers.EMPTY_ANSWERS})
+
+
+# Guards against streams that are not ended since more bytes always wait to be read.
+def test_clients_are_not_left_waiting_for_answers_that_arrive_faster_than_they_are_read(case: Case) -> None:
+    answer_endlessly(case, {Role.WRITER: endless_answers.FLOODING_ANSWERS})
