Streams: the check of a stream is put off for 0.2 s at most

Callers saw: beside a server that writes at full speed without an event, a stream was left open as long as the server wrote.

Cause: where bytes wait in the kernel when a stream's time is over, the check was put off by 0.02 s, as the event may have arrived in that turn; with more bytes always waiting it was put off for ever. Class: a grace without a bound.

Change: 0.2 s of grace in all, 4.7 s after the last event at most.

--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -228,7 +228,7 @@
         left = self._progress.ends_at(self.pool.stream_silence_s, MAX_EVENT_TIME_S) - now
         if left > 0:
             self._silence_timer.set(left, self._watch_stream)
-        elif self.channel.unread:  # it arrived in this turn of the loop
+        elif self.channel.unread and grace_s < MAX_UNREAD_GRACE_S:  # it arrived in this turn of the loop
             grace = partial(self._watch_stream, grace_s + UNREAD_GRACE_S)
             self._silence_timer.set(UNREAD_GRACE_S, grace)
         else:
