Discovery: a message that never ends delays no further call, a slow list arrives

Callers saw: requests sent to servers that had been announced as draining 6 s and more before, where a watch went on with bytes of a line, a size line, an indented message or a chunk that never ends. And a whole list that takes longer to write than two waits for an answer never arrived.

Cause: any byte counted as a sign of life of the watch, and no size was checked. A call that was being answered was closed for a further one, which was as slow. Class: silence and progress had one clock.

Change: a call is in a module of its own, reads through the shared framing (4 MiB may be stated, as a message may have) and has two clocks; further calls are opened 2.5 s after the last whole message or empty line. Of the unanswered calls the one that brings something is kept, for 10 s; then it is closed and logged.

--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import socket
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 from random import Random
@@ -240,3 +242,62 @@
     p.parties["discovery"].send(b"HTTP/1.1 200 OK\r\nX: " + b"y" * 40_000)
     p.wait(0.1)
     assert any("the head is too large" in line for line in p.log.lines)
+
+
+ENDLESS_MESSAGES = {
+    "line": (chunk('{"generation":'), chunk("1")),
+    "size line": (b"0", b"0"),
+    "indented message": (chunk('{\n"instances":[\n'), chunk('{"a":\n1},\n')),
+    "chunk of 4 GB": (b"ee6b2800\r\n", b"\n"),
+    "chunk extension": (b"5;a=", b"x"),
+}
+
+
+# Guards against routers that wait for a message of discovery that never ends, and send to draining servers.
+@pytest.mark.parametrize("kind", ENDLESS_MESSAGES)
+@pytest.mark.parametrize("endless_calls", [1, 2])
+def test_a_drain_is_known_in_time_though_a_message_never_ends(
+    tier: Platform, kind: str, endless_calls: int
+) -> None:
+    p, (opening, repeated) = tier, ENDLESS_MESSAGES[kind]
+    answer_first_call(p)
+    party, began, seen = p.parties["discovery"], p.clock.now, 1
+    assert party.sock is not None
+    party.send(opening)
+    endless = [party.sock]
+    written_at = p.clock.now
+    while p.clock.now - began < LIST_KNOWN_AFTER_S - 0.1:
+        p.turn(STEP_S)
+        if p.clock.now - written_at > 0.24:
+            written_at = p.clock.now
+            for sock in endless:
+                with contextlib.suppress(OSError):
+                    sock.send(repeated)
+        if party.connections == seen or "\r\n\r\n" not in party.text:
+            continue
+        seen = party.connections
+        party.send(HEAD + (opening if len(endless) < endless_calls else drain(p)))
+        endless.append(party.sock)
+    p.play("wait 0.1\nclient send ask\nclient expect HTTP/1.1 503")
+    assert "POST" not in p.parties["reader"].heard
+
+
+# Guards against lists that never arrive, since the call that brings one is closed for a further one.
+@pytest.mark.parametrize("seconds", [2.0, 4.0, 8.0])
+def test_a_list_of_thousands_that_is_written_slowly_arrives(p: Platform, seconds: float) -> None:
+    party, began = p.parties["discovery"], p.clock.now
+    entries = [p.entry("writer") | {"instanceId": f"s-{n}"} for n in range(3200)]
+    entries.append(p.entry("reader", "draining"))
+    message = {"generation": 5, "reset": True, "instances": entries}
+    data = HEAD + chunk(json.dumps(message) + "\n")
+    written: dict[socket.socket, tuple[float, int]] = {}  # socket -> when it was opened, bytes written
+    while p.clock.now - began < seconds + 1.0 and p.front.watch.generation != 5:
+        p.turn(STEP_S)
+        if party.sock is not None and "\r\n\r\n" in party.text:
+            written.setdefault(party.sock, (p.clock.now, 0))
+        for sock, (opened_at, sent) in list(written.items()):
+            end = int(len(data) * min(1.0, (p.clock.now - opened_at) / seconds))
+            with contextlib.suppress(OSError):
+                sent += sock.send(data[sent:end]) if end > sent else 0
+            written[sock] = (opened_at, sent)
+    assert p.front.watch.generation == 5
--- a/yewhook/platform/discovery.py
+++ b/yewhook/platform/discovery.py
@@ -10,23 +10,19 @@
 
 from __future__ import annotations
 
-import json
 import math
 from collections.abc import Callable
 from random import Random
 from typing import Any
 
-import httptools
-
 from hopshed import interface
 
 from ..backoff import Backoff
-from ..channel import Channel
 from ..config import Address
 from ..loop import Loop, Timer
 from ..start_times import MessageTimes
 from ..worker_list import WorkerList
-from . import http
+from .watch_call import WatchCall
 
 SILENCE_TIMEOUT_S = 2.5  # discovery sends an empty line every 2 s
 # Time after which an unanswered call gets a second one beside it: its length for each router of the tier, and
@@ -44,109 +40,6 @@
 # Discovery sends what has changed along with the head of its answer. Changes that come this long after the
 # head have happened since.
 FIRST_CHANGES_TIMEOUT_S = 0.3
-MAX_MESSAGE_BYTES = 4 * 1024 * 1024
-
-
-class WatchCall:
-    """One call of discovery; its response brings a message with each change for as long as it lasts."""
-
-    def __init__(self, watch: Watch, loop: Loop, address: Address, generation: int) -> None:
-        """Ask for the changes after a generation, or with 0 for the whole list. Raises OSError."""
-        self._watch, self._loop = watch, loop
-        self.address, self.after_generation = address, generation
-        self.began_at = self.last_received_at = loop.now
-        self.answer_began_at = math.inf  # when the head of the answer was received
-        self._parser = httptools.HttpResponseParser(self)
-        self._line = bytearray()  # the incomplete last line
-        self._message: list[bytes] = []  # the lines so far of a message that spans several
-        self._message_bytes = self._head_bytes = 0
-        self.received_bytes = self.message_count = 0
-        self._channel = Channel.connect(loop, address, self)
-        target = f"/v1/servers?watch=1&after={generation}"
-        self._channel.send(http.head(f"GET {target} HTTP/1.1", {"Host": "discovery"}))
-
-    def close(self) -> None:
-        """Close at once, without calling the watch."""
-        self._channel.abort()
-
-    def connected(self) -> None:
-        """The connection is up; called by the channel."""
-
-    def drained(self) -> None:
-        """The request has been written; called by the channel."""
-
-    def lost(self, error: OSError | None) -> None:
-        """The connection was refused, closed or reset; called by the channel."""
-        self._watch.call_ended(self, str(error or "ended"))
-
-    def received(self, data: bytes) -> None:
-        """Parse bytes from discovery; called by the channel."""
-        self.last_received_at = self._loop.now
-        self.received_bytes += len(data)
-        if self.answer_began_at == math.inf:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-            if self.answer_began_at == math.inf and self._head_bytes > http.MAX_HEAD_BYTES:
-                raise httptools.HttpParserError("the head is too large")  # the parser buffers partial fields
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._channel.abort()
-            self._watch.call_ended(self, f"not understood: {error.__context__ or error}")
-
-    def on_headers_complete(self) -> None:
-        """Parser callback: the head is complete."""
-        if (status := self._parser.get_status_code()) != 200:
-            raise ValueError(f"status {status}")
-        self.answer_began_at = self._loop.now
-
-    def on_body(self, body: bytes) -> None:
-        """Parser callback: a part of the body."""
-        *ended, rest = body.split(b"\n")
-        for line in ended:
-            self._line += line
-            self._line_received(bytes(self._line))
-            self._line.clear()
-        self._line += rest
-        if len(self._line) + self._message_bytes > MAX_MESSAGE_BYTES:
-            raise ValueError("the message is too large")
-
-    def on_message_complete(self) -> None:
-        """Parser callback: the response ends, which a watch never does."""
-        raise ValueError("the response ended")
-
-    def __str__(self) -> str:
-        """What it has brought, for the log."""
-        host, port = self.address
-        age_s, silent_s = self._loop.now - self.began_at, self._loop.now - self.last_received_at
-        return (
-            f"{host}:{port}, {self.received_bytes} bytes and {self.message_count} messages in {age_s:.2f} s, "
-            f"the last byte {silent_s:.2f} s ago"
-        )
-
-    def _line_received(self, line: bytes) -> None:
-        """A message is on one line or, indented, on several; an empty line means that nothing changed."""
-        if not line.strip():
-            if self._message:
-                raise ValueError("an empty line within a message")
-            self.message_count += 1
-            return self._watch.message_received(self, None)
-        if not self._message and not line.lstrip().startswith(b"{"):
-            raise ValueError("a message that is not a JSON object")
-        self._message.append(line)
-        self._message_bytes += len(line) + 1
-        if not line.rstrip().endswith(b"}"):
-            return None  # the message continues on the next line
-        text = b"\n".join(self._message).decode().rstrip()
-        try:
-            message = json.loads(text)
-        except json.JSONDecodeError as error:
-            if error.pos < len(text):
-                raise
-            return None  # this brace ended an inner object
-        self._message.clear()
-        self._message_bytes = 0
-        self.message_count += 1
-        return self._watch.message_received(self, message)
 
 
 class Watch:
@@ -221,6 +114,7 @@
     # ---- calling ----
 
     def _check(self) -> None:
+        self._close_overdue()
         if not self._retry_timer.running and self._needs_call:
             if self._unanswered:
                 self._loop.log("discovery watch called", f"again beside {self._unanswered[-1]}")
@@ -235,12 +129,12 @@
 
     @property
     def _needs_call(self) -> bool:
-        """Whether the active call is silent or missing, and the unanswered ones have had their time."""
+        """Whether the active call brings no message or is missing, and the unanswered have had their time."""
         now, active = self._loop.now, self._active
         if (
             active is not None
             and active.address == self._address
-            and now - active.last_received_at < SILENCE_TIMEOUT_S
+            and now - active.progress.last_unit_at < SILENCE_TIMEOUT_S
         ):
             return False
         return not self._unanswered or now - self._unanswered[-1].began_at >= self._answer_timeout_s
@@ -253,9 +147,28 @@
         except OSError as error:
             return self._retry(str(error))
         if len(self._unanswered) > MAX_UNANSWERED_CALLS:
-            self._unanswered.pop(0).close()
+            self._close_one_unanswered()
         return None
 
+    def _close_one_unanswered(self) -> None:
+        """Close the oldest call that brings nothing; if all bring something, the last but the newest one.
+
+        A long list that is written slowly arrives in the oldest call.
+        """
+        *earlier, _ = self._unanswered
+        closed = next((call for call in earlier if not call.is_receiving), earlier[-1])
+        self._unanswered.remove(closed)
+        closed.close()
+
+    def _close_overdue(self) -> None:
+        """Close calls whose message does not end; others have been opened beside them."""
+        for call in [*self._unanswered, *([self._active] if self._active is not None else [])]:
+            if call.is_overdue:
+                self._loop.log("discovery watch overdue", str(call))
+                call.close()
+                self._unanswered = [other for other in self._unanswered if other is not call]
+                self._active = None if call is self._active else self._active
+
     def _retry(self, why: str) -> None:
         wait = self._backoff.next_delay()
         self._loop.log("discovery watch lost", f"{why}; again in {wait:.2f} s")
