Tool calls: notifications without an event are no progress of a stream

Callers saw: beside a worker that repeats notifications/event without an event, the client got an event null each time and was left open; as the first message it also stopped the client's time.

Cause: each such notification began or prolonged the stream, whatever it held. Class: what the other side can repeat for ever counted as progress.

Change: no event, null and empty values are not forwarded and reset no clock.

--- a/tests/processes/test_endless_toolcalls.py
+++ b/tests/processes/test_endless_toolcalls.py
@@ -101,17 +101,26 @@
     return int(json.loads(request.splitlines()[0])["id"])
 
 
+def accept_attempt(listener: socket.socket) -> tuple[socket.socket, bytes]:
+    """Accept the connection of an attempt, and close those of releases before it; returns its request too."""
+    while True:
+        sock = listener.accept()[0]
+        sock.settimeout(RECEIVE_TIMEOUT_S)
+        request = receive(sock, b"\n")
+        if b"chat/completions" in request:
+            return sock, request
+        sock.close()
+
+
 def answered_after(
     router: tuple[str, int], workers: dict[str, socket.socket], data: bytes, events_before: int
 ) -> tuple[float, bytes]:
     """How long a client waits for its answer, and all that it receives, while a writer repeats `data`."""
     with socket.create_connection(router, RECEIVE_TIMEOUT_S) as client:
         client.sendall(chat_request(left=str(round(PATIENCE_S[events_before] * 1000))))
-        reader = workers["reader"].accept()[0]
-        request = receive(reader, b"chat/completions")
+        reader, request = accept_attempt(workers["reader"])
         reader.sendall(message(id=rpc_id(request), result={"read": True, "cachedTokens": 0}))
-        writer = workers["writer"].accept()[0]
-        receive(writer, b"chat/completions")
+        writer, _ = accept_attempt(workers["writer"])
         writer.sendall(MESSAGES["event"](text="first") * events_before)
         began, received = time.monotonic(), b""
         client.settimeout(INTERVAL_S)
--- a/yewhook/toolcalls/workers.py
+++ b/yewhook/toolcalls/workers.py
@@ -19,6 +19,7 @@
 from .tools import ToolCall, ToolServers
 
 MAX_OPEN_TOOL_CALLS = 8  # per stream
+EMPTY_EVENTS: tuple[object, ...] = (None, "", {}, [])  # not forwarded: they bring a stream no further
 TOOL_CALL_CANCELLED = RpcError(Code.TOOL_ERROR, "withdrawn by the worker")
 
 
@@ -56,7 +57,8 @@
     def notification(self, peer: Peer, method: str, params: dict[str, Any]) -> None:
         """Handle an event of the stream or the cancellation of a tool call."""
         if method == "notifications/event":
-            self._forward(StreamNotification(method, {"event": params.get("event")}))
+            if (event := params.get("event")) not in EMPTY_EVENTS:
+                self._forward(StreamNotification(method, {"event": event}))
         elif method == "notifications/cancelled":
             self._cancel_tool_call(params.get("requestId"))
 
