Requests: refuse a chunk's size where it is stated; tests of the shared framing

Callers saw: a request whose chunk states more than a body may have was answered only when so much had arrived, or after 2.2 s.

Cause: as for workers' answers, the size of a chunk was not known before its end. Class: a statement is checked when it is reached.

Change: clients' requests are read by the shared reader; the limits of heads and bodies stand once in it.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -258,3 +258,14 @@
     ]
     assert connections_to_close(statuses, 10.0, 9) == ["answered", "younger", "silent", "half"]
     assert connections_to_close(statuses, 10.0, 1) == ["answered"] and connections_to_close([], 10.0, 9) == []
+
+
+# Guards against a client that is answered late, or holds its connection, by a body that it states in chunks.
+@pytest.mark.parametrize("size", ["40001", "ee6b2800", "000040001;a=b", "0" * 1100])
+def test_a_chunk_of_a_request_that_states_too_much_is_answered_where_it_is_stated(
+    p: Platform, size: str
+) -> None:
+    head = ask().partition(b"\r\n\r\n")[0].replace(b"Content-Length: 15", b"Transfer-Encoding: chunked")
+    p.parties["client"].send(head + b"\r\n\r\n2\r\n{}\r\n" + size.encode())
+    p.wait(0.1)
+    assert ("HTTP/1.1 400" if set(size) == {"0"} else "HTTP/1.1 413") in p.parties["client"].text
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -21,6 +21,7 @@
 from ..slow_reader import SlowReader
 from . import http
 from .client_request import BadRequest, HttpRequest, parse_request
+from .framing import BodyTooLargeError, FramedReader, FramingError, HeadTooLargeError
 
 CHAT_COMPLETIONS_PATH = b"/v1/chat/completions"
 # Waiting to be sent to a client, above which its stream is not read; the lesser where memory is scarce
@@ -49,8 +50,8 @@
     """One client's connection; for the request being served it is the `Client` that the core talks to."""
 
     __slots__ = (
-        "_arrival_time", "_field_count", "_following_timer", "_has_answered", "_head_bytes", "_in_head",
-        "_last_received_at", "_no_more_requests", "_parser", "_stream_started", "_timer",
+        "_arrival_time", "_field_count", "_following_timer", "_has_answered", "_in_head",
+        "_last_received_at", "_no_more_requests", "_parser", "_reader", "_stream_started", "_timer",
         "_unparsed_head_bytes", "channel", "front", "idle_since", "receiving", "request_id", "serving",
         "slow_reader", "waiting",
     )  # fmt: skip
@@ -62,7 +63,8 @@
         self.serving: HttpRequest | None = None
         self.request_id = ""  # of the request that the core is handling
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
-        self._head_bytes = self._unparsed_head_bytes = 0  # parsed so far; received, perhaps still unparsed
+        self._reader: FramedReader | None = FramedReader(self._parser, http.REQUEST_LIMITS)
+        self._unparsed_head_bytes = 0  # received, perhaps still unparsed
         self._field_count = 0  # of the request being received, trailers included
         self._in_head = self._stream_started = self._no_more_requests = False
         self.idle_since = self._last_received_at = front.loop.now
@@ -120,17 +122,13 @@
     def received(self, data: bytes) -> None:
         """Parse bytes from the client; called by the channel."""
         self._last_received_at = self.front.loop.now
-        if self._no_more_requests or self._parser is None:
+        if self._no_more_requests or self._reader is None:
             return self._serve_next()  # bytes after the last request of the connection are ignored
         try:
-            self._parser.feed_data(data)
+            self._reader.feed(data)
             self._unparsed_head_bytes = self._unparsed_head_bytes + len(data) if self._in_head else 0
-            if self._unparsed_head_bytes > http.MAX_HEAD_BYTES:  # the parser buffers incomplete fields
-                raise BadRequest(431, "the head is too large")
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade, BadRequest) as error:
-            # The parser wraps an exception that a callback raises.
-            cause = error if isinstance(error, BadRequest) else error.__context__
-            self._reject(cause if isinstance(cause, BadRequest) else BadRequest(400, "not HTTP/1.1"))
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, FramingError) as error:
+            self._reject(_bad_request(error))
         self._account_unfinished()
         self._serve_next()
 
@@ -177,7 +175,7 @@
     def on_message_begin(self) -> None:
         """Parser callback: a request begins."""
         self.receiving = HttpRequest(began=self._arrival_time.earliest, head_cost=REQUEST_BYTES)
-        self._head_bytes, self._field_count, self._in_head = 0, 0, True
+        self._field_count, self._in_head = 0, True
         if not self._timer.running:
             self._start_request_timer()
 
@@ -186,13 +184,11 @@
         if self.receiving is not None:
             self.receiving.target += url
             self.receiving.head_cost += len(url)
-            self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Parser callback: a header or trailer field."""
         if self.receiving is None:
             return
-        self._count_head_bytes(len(name) + len(value))
         self._field_count += 1
         if self._field_count > http.MAX_FIELDS:
             raise BadRequest(431, "the head has too many fields")
@@ -204,22 +200,16 @@
         self.receiving.headers[header_name] = http.decode_header(value)
         self.receiving.head_cost += FIELD_BYTES + len(name) + len(value)
 
-    def _count_head_bytes(self, size: int) -> None:
-        self._head_bytes += size
-        if self._head_bytes > http.MAX_HEAD_BYTES:
-            raise BadRequest(431, "the head is too large")
-
     def on_headers_complete(self) -> None:
         """Parser callback: the head is complete."""
         self._in_head = False
-        if self.receiving is None or self._parser is None:
+        if self.receiving is None or self._parser is None or self._reader is None:
             return
         # The parser rejects a Content-Length that is not a number, repeated, or beside a Transfer-Encoding.
         version, coding = self._parser.get_http_version(), self.receiving.headers.get("transfer-encoding")
         if version not in ("1.0", "1.1") or (coding and (version, coding.lower()) != ("1.1", "chunked")):
             raise BadRequest(400, "not HTTP/1.1, or a Transfer-Encoding other than chunked")
-        if int(self.receiving.headers.get("content-length") or 0) > http.MAX_BODY_BYTES:
-            raise BadRequest(413, "the body is too large")
+        self._reader.head_complete(self.receiving.headers, is_response=False)
         waits = version == "1.1" and self.receiving.headers.get("expect", "").lower() == "100-continue"
         if waits and self.serving is None and not self.waiting:  # else it would fall inside another response
             self.channel.send(http.CONTINUE)
@@ -229,14 +219,13 @@
         if self.receiving is None:
             return
         self.receiving.body.append(body)
-        if len(self.receiving.body) > http.MAX_BODY_BYTES:
-            raise BadRequest(413, "the body is too large")
 
     def on_message_complete(self) -> None:
         """Parser callback: the request is complete."""
-        if (request := self.receiving) is None or self._parser is None:
+        if (request := self.receiving) is None or self._parser is None or self._reader is None:
             return
         self.receiving = None
+        self._reader.message_complete()
         self._timer.cancel()
         request.method, request.keep_alive = self._parser.get_method(), self._parser.should_keep_alive()
         self.waiting.append(request)
@@ -450,10 +439,23 @@
         memory.hold(self, 0)
         for request in filter(None, [self.serving, *self.waiting]):
             memory.charge(-request.cost)
-        self.receiving = self.serving = self._parser = None  # the parser refers back to this object
+        # The parser refers back to this object
+        self.receiving = self.serving = self._parser = self._reader = None
         self.waiting.clear()
 
 
+def _bad_request(error: Exception) -> BadRequest:
+    """The answer to what was not understood; the parser wraps an exception that a callback raises."""
+    for cause in (error, error.__context__):
+        if isinstance(cause, BadRequest):
+            return cause
+        if isinstance(cause, HeadTooLargeError):
+            return BadRequest(431, "the head is too large")
+        if isinstance(cause, BodyTooLargeError):
+            return BadRequest(413, "the body is too large")
+    return BadRequest(400, "not HTTP/1.1")
+
+
 class ClientFront(ClientConnections[ClientConnection]):
     """All client connections of the platform front."""
 
--- a/yewhook/platform/framing.py
+++ b/yewhook/platform/framing.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 MAX_SIZE_LINE_BYTES = 1024  # of the line that states a chunk's size, with its extensions
+MAX_PLAIN_SIZE_BYTES = 10  # of a size line without an extension
 SIZE_PATTERN = re.compile(rb"[0-9A-Fa-f]+")
 HEAD_END = b"\r\n\r\n"
 LINE_END = b"\r\n"
@@ -145,6 +146,9 @@
                     self._section = _Section.SIZE_LINE
                 begin = end
                 continue
+            if not self._size_line and (end := self._whole_chunks_end(data, begin)) > begin:
+                begin = end
+                continue
             found = data.find(b"\n", begin)
             end = len(data) if found < 0 else found + 1
             self._size_line += data[begin:end]
@@ -156,6 +160,29 @@
             begin = end
         return begin
 
+    def _whole_chunks_end(self, data: bytes, begin: int) -> int:
+        """Returns where the chunks end that are whole, plainly framed and small enough.
+
+        This is the usual case, and fast: a read may hold hundreds of chunks.
+        """
+        body_bytes, size, chunk_bytes = 0, len(data), self.stated_bytes
+        most = self._limits.stated
+        if self._limits.body is not None:
+            most = min(most, self._limits.body - self._body_bytes)
+        try:
+            while (line_end := data.find(LINE_END, begin, begin + MAX_PLAIN_SIZE_BYTES)) > 0:
+                stated = int(data[begin:line_end], 16)
+                end = line_end + stated + 2 * len(LINE_END)
+                if stated <= 0 or end > size or body_bytes + stated > most:
+                    break
+                begin, chunk_bytes = end, stated
+                body_bytes += stated
+        except ValueError:
+            pass  # an extension, or no number
+        self._body_bytes += body_bytes
+        self.stated_bytes = chunk_bytes
+        return begin
+
     def _size_line_grown(self, is_complete: bool) -> None:
         """Check the line that states a chunk's size, as far as it has arrived. Raises FramingError."""
         if len(self._size_line) > MAX_SIZE_LINE_BYTES:
--- a/yewhook/platform/http.py
+++ b/yewhook/platform/http.py
@@ -26,6 +26,7 @@
 PRINTABLE_ASCII = re.compile(r"[ -~]{0,1024}")  # field values that any worker can read
 MAX_BODY_BYTES = 256 * 1024
 MAX_HEAD_BYTES = 32 * 1024
+REQUEST_LIMITS = FramingLimits(head=MAX_HEAD_BYTES, stated=MAX_BODY_BYTES, body=MAX_BODY_BYTES)
 ANSWER_LIMITS = FramingLimits(head=MAX_HEAD_BYTES, stated=MAX_BODY_BYTES)  # a stream may be longer in all
 MAX_FIELDS = 128  # of a head with its trailers; a parsed field takes far more memory than its bytes
 MAX_EVENT_BYTES = 64 * 1024  # a worker sends an event every few tokens
