Management endpoint: refuse a stated size where it is stated; one answer for bad framing

Callers saw: a management request that stated a body of gigabytes, and sent none, held one of 24 connections for 5 s.

Cause and class as for clients' requests: a Content-Length was not checked, a chunk only when it was reached.

Change: the shared reader with the endpoint's own limits (4 KiB head, 1 KiB body); errors of framing carry the status of their answer, for both endpoints.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -215,3 +215,23 @@
     ):  # fmt: skip
         instance = step(instance, event)
         assert instance.state is state
+
+
+# Guards against a management request that holds its connection by a body that it states and does not send.
+@pytest.mark.parametrize(
+    ("framing", "status"),
+    [
+        (b"Content-Length: 4000000000\r\n\r\n", "413"),
+        (b"Transfer-Encoding: chunked\r\n\r\nee6b2800\r\n", "413"),
+        (b"Transfer-Encoding: chunked\r\n\r\n" + b"0" * 1100, "400"),
+        (b"Transfer-Encoding: chunked\r\n\r\n0\r\nX: " + b"y" * 4100, "431"),
+    ],
+)
+def test_a_management_request_that_states_too_much_is_answered_at_once(
+    platform: PlatformWithManagement, framing: bytes, status: str
+) -> None:
+    operator = platform.parties["operator"] = FakePeer(("127.0.0.1", platform.endpoint.port))
+    operator.send(b"POST /-/drain HTTP/1.1\r\nHost: x\r\n" + framing)
+    platform.wait(0.1)
+    assert f"HTTP/1.1 {status}" in operator.text
+    assert platform.service.instance == Instance(State.READY)
--- a/yewhook/operations/management_endpoint.py
+++ b/yewhook/operations/management_endpoint.py
@@ -17,67 +17,57 @@
 from ..config import Address
 from ..loop import Timer
 from ..platform import http
+from ..platform.client_request import BadRequest, bad_request
+from ..platform.framing import FramedReader, FramingError, FramingLimits
 from ..service import Service
 from .instance import Event
 
 MAX_CONNECTIONS = 24  # a further one closes the oldest
 RESERVED_DESCRIPTORS = MAX_CONNECTIONS + 2  # connections, the listener, and one being accepted
-MAX_HEAD_BYTES = 4096
-MAX_BODY_BYTES = 1024
+LIMITS = FramingLimits(head=4096, stated=1024, body=1024)
 REQUEST_TIMEOUT_S = 5.0  # for a request to arrive completely
 MAX_ACCEPTS_PER_TURN = 8  # a burst of connections must not close one whose request is not read yet
 
 
-class RequestError(Exception):
-    """A request that is answered with an error status and this text."""
-
-    def __init__(self, status: int, text: str) -> None:
-        super().__init__(text)
-        self.status = status
-
-
 class ManagementConnection:
     """A connection and the one request on it."""
 
     def __init__(self, endpoint: ManagementEndpoint, sock: socket.socket) -> None:
         self._endpoint = endpoint
-        self._received_bytes = self._body_bytes = 0
+        self._headers: dict[str, str] = {}  # those that decide how the body is framed
         self._target = b""
         self._answered = False
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self._reader: FramedReader | None = FramedReader(self._parser, LIMITS)
         self.channel = Channel(endpoint.loop, sock, self, first=True)
         self._timer = Timer(endpoint.loop)
         self._timer.set(REQUEST_TIMEOUT_S, self._time_out)
 
     def received(self, data: bytes) -> None:
         """Parse bytes from the channel."""
-        if self._answered or self._parser is None:
+        if self._answered or self._reader is None:
             return
         try:
-            self._received_bytes += len(data)
-            self._parser.feed_data(data)
-            if not self._answered and self._received_bytes - self._body_bytes > MAX_HEAD_BYTES:
-                raise RequestError(431, "the head is too large")
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade, RequestError) as error:
-            # The parser wraps an exception that a callback raises.
-            cause = error if isinstance(error, RequestError) else error.__context__
-            rejection = cause if isinstance(cause, RequestError) else RequestError(400, "not HTTP/1.1")
+            self._reader.feed(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, FramingError) as error:
+            rejection = bad_request(error)
             self._answer(rejection.status, str(rejection))
 
     def on_url(self, url: bytes) -> None:
         """Parser callback: a piece of the request target."""
         self._target += url
 
-    def on_headers_complete(self) -> None:
-        """Parser callback: the head is complete. Raises RequestError."""
-        if self._parser is not None and self._parser.get_http_version() not in ("1.0", "1.1"):
-            raise RequestError(400, "not HTTP/1.1")
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser callback: a field of the head."""
+        http.keep_framing_header(self._headers, name, value)
 
-    def on_body(self, body: bytes) -> None:
-        """Parser callback: a piece of the body. Raises RequestError."""
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_BODY_BYTES:
-            raise RequestError(413, "the body is too large")
+    def on_headers_complete(self) -> None:
+        """Parser callback: the head is complete. Raises BadRequest or FramingError."""
+        if self._parser is None or self._reader is None:
+            return
+        if self._parser.get_http_version() not in ("1.0", "1.1"):
+            raise BadRequest(400, "not HTTP/1.1")
+        self._reader.head_complete(self._headers, is_response=False)
 
     def on_message_complete(self) -> None:
         """Parser callback: the request is complete."""
@@ -105,7 +95,7 @@
     def lost(self, error: OSError | None) -> None:
         """Channel callback: the connection is closed."""
         self._timer.cancel()
-        self._parser = None  # breaks the reference cycle
+        self._parser = self._reader = None  # breaks the reference cycle
 
     def abort(self) -> None:
         """Close the connection at once."""
--- a/yewhook/platform/client_request.py
+++ b/yewhook/platform/client_request.py
@@ -12,6 +12,7 @@
 from ..config import Names
 from ..memory_budget import data_cost
 from . import http
+from .framing import FramingError
 
 TRANSIT_ALLOWANCE_S = 0.001  # subtracted from a client's time for the transit of its request and its response
 MAX_TOKENS = 1_000_000  # in a prompt, its prefix or its output; no body of the permitted size holds as many
@@ -29,6 +30,16 @@
         self.status = status
 
 
+def bad_request(error: Exception) -> BadRequest:
+    """The answer to a request that was not understood; parsers wrap an exception that a callback raises."""
+    cause = error if isinstance(error, FramingError) else error.__context__
+    if isinstance(cause, BadRequest):
+        return cause
+    if isinstance(cause, FramingError):
+        return BadRequest(cause.status, str(cause))
+    return BadRequest(400, "not HTTP/1.1")
+
+
 @dataclass(slots=True)
 class HttpRequest:
     """A client's request as it is forwarded to workers."""
--- a/yewhook/platform/clients.py
+++ b/yewhook/platform/clients.py
@@ -20,8 +20,8 @@
 from ..operations.instance import FrontMode
 from ..slow_reader import SlowReader
 from . import http
-from .client_request import BadRequest, HttpRequest, parse_request
-from .framing import BodyTooLargeError, FramedReader, FramingError, HeadTooLargeError
+from .client_request import BadRequest, HttpRequest, bad_request, parse_request
+from .framing import FramedReader, FramingError
 
 CHAT_COMPLETIONS_PATH = b"/v1/chat/completions"
 # Waiting to be sent to a client, above which its stream is not read; the lesser where memory is scarce
@@ -128,7 +128,7 @@
             self._reader.feed(data)
             self._unparsed_head_bytes = self._unparsed_head_bytes + len(data) if self._in_head else 0
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, FramingError) as error:
-            self._reject(_bad_request(error))
+            self._reject(bad_request(error))
         self._account_unfinished()
         self._serve_next()
 
@@ -444,18 +444,6 @@
         self.waiting.clear()
 
 
-def _bad_request(error: Exception) -> BadRequest:
-    """The answer to what was not understood; the parser wraps an exception that a callback raises."""
-    for cause in (error, error.__context__):
-        if isinstance(cause, BadRequest):
-            return cause
-        if isinstance(cause, HeadTooLargeError):
-            return BadRequest(431, "the head is too large")
-        if isinstance(cause, BodyTooLargeError):
-            return BadRequest(413, "the body is too large")
-    return BadRequest(400, "not HTTP/1.1")
-
-
 class ClientFront(ClientConnections[ClientConnection]):
     """All client connections of the platform front."""
 
--- a/yewhook/platform/framing.py
+++ b/yewhook/platform/framing.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum, auto
-from typing import Protocol
+from typing import ClassVar, Protocol
 
 MAX_SIZE_LINE_BYTES = 1024  # of the line that states a chunk's size, with its extensions
 MAX_PLAIN_SIZE_BYTES = 10  # of a size line without an extension
@@ -23,14 +23,20 @@
 class FramingError(ValueError):
     """A message whose framing is refused; the message of the error says why."""
 
+    status: ClassVar[int] = 400  # of the answer, where the message is a request
+
 
 class HeadTooLargeError(FramingError):
     """A head, or a head with its trailers, that is longer than allowed."""
 
+    status = 431
+
 
 class BodyTooLargeError(FramingError):
     """A body, or a chunk of one, that states a larger size than allowed."""
 
+    status = 413
+
 
 @dataclass(frozen=True, slots=True)
 class FramingLimits:
--- a/yewhook/platform/http.py
+++ b/yewhook/platform/http.py
@@ -23,6 +23,7 @@
     "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
     "trailer", "transfer-encoding", "upgrade", "expect", "content-length", "x-txn", "x-remaining",
 }  # fmt: skip
+FRAMING_HEADERS = (b"transfer-encoding", b"content-length")
 PRINTABLE_ASCII = re.compile(r"[ -~]{0,1024}")  # field values that any worker can read
 MAX_BODY_BYTES = 256 * 1024
 MAX_HEAD_BYTES = 32 * 1024
@@ -41,6 +42,12 @@
     return value.rstrip(b" \t").decode("latin-1")
 
 
+def keep_framing_header(headers: dict[str, str], name: bytes, value: bytes) -> None:
+    """Keep a field that decides how the body is framed, by its name in lower case; ignore all others."""
+    if (lower_name := name.lower()) in FRAMING_HEADERS:
+        headers[lower_name.decode("latin-1")] = decode_header(value)
+
+
 def end_to_end(headers: dict[str, str]) -> dict[str, str]:
     """Returns the request fields to forward to a worker.
 
--- a/yewhook/platform/watch_call.py
+++ b/yewhook/platform/watch_call.py
@@ -20,7 +20,6 @@
 # From a message's beginning to its end, where bytes keep arriving; further calls are opened long before
 MESSAGE_TIMEOUT_S = 10.0
 RECEIVING_WITHIN_S = 1.0  # since its last byte, a call counts as being answered
-FRAMING_HEADERS = (b"transfer-encoding", b"content-length")
 
 
 class WatchOwner(Protocol):
@@ -78,8 +77,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Parser callback: a field of the head."""
-        if name.lower() in FRAMING_HEADERS:
-            self._headers[name.decode("latin-1").lower()] = http.decode_header(value)
+        http.keep_framing_header(self._headers, name, value)
 
     def on_headers_complete(self) -> None:
         """Parser callback: the head is complete. Raises ValueError."""
