--- a/yewlab/processes/endless_answers.py
+++ b/yewlab/processes/endless_answers.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from yewhook.loop import Loop
 from yewhook.platform import http
@@ -16,7 +17,7 @@
 STATED_BYTES = 4_000_000_000
 OPEN_CHUNK = b"%x\r\n" % STATED_BYTES
 INTERVAL_S = 0.24  # between two writes of an answer that never ends
-MAX_UNSENT_BYTES = 1 << 20  # by an answer at full speed
+MAX_UNSENT_BYTES = 1 << 16  # by an answer at full speed
 ENDLESS_S = 20.0  # after which the server closes the connection all the same, so that a test ends
 HEARTBEAT_S = 2.0  # between two empty lines of discovery
 
@@ -31,6 +32,7 @@
     sound_events: int = 3
     head: bytes = CHUNKED_HEAD
     interval_s: float = INTERVAL_S
+    opens_with_event: bool = False  # the opening is a sound event, the last one
 
 
 def _sized_head(status: str) -> bytes:
@@ -55,13 +57,18 @@
     EndlessAnswer("events without data", b"", http.chunk(b"event: ping\n\n")),
     EndlessAnswer("empty data", b"", http.chunk(b"data:\n\n")),
     EndlessAnswer("null", b"", http.chunk(b"data: null\n\n")),
-    EndlessAnswer("events after the last", http.chunk(b"data: [DONE]\n\n"), http.chunk(b"data: [DONE]\n\n")),
+    EndlessAnswer(
+        "events after the last",
+        http.chunk(b"data: [DONE]\n\n"),
+        http.chunk(b"data: [DONE]\n\n"),
+        opens_with_event=True,
+    ),
     EndlessAnswer("an event", http.chunk(b"data: "), http.chunk(b"x")),
     EndlessAnswer("trailers", b"0\r\nX-Trailer: ", b"x"),
 )
 # Of writers: more arrives than the router reads.
 FLOODING_ANSWERS = (
-    EndlessAnswer("comments at full speed", b"", http.chunk(b": here\n\n") * 5000, interval_s=0.005),
+    EndlessAnswer("comments at full speed", b"", http.chunk(b": here\n\n") * 3000, interval_s=0.01),
 )
 # Of writers and readers: no answer to a request.
 UNSTREAMED_ANSWERS = (
@@ -97,43 +104,55 @@
 
 
 def write_endlessly(
-    loop: Loop, connection: ServerConnection, answer: EndlessAnswer, after_s: float = 0.0
+    loop: Loop,
+    connection: ServerConnection,
+    answer: EndlessAnswer,
+    after_s: float = 0.0,
+    may_write: Callable[[], bool] = lambda: True,
+    opened: Callable[[], None] = lambda: None,
 ) -> None:
-    """Write an answer's opening after some seconds, and then the bytes that it repeats until it is closed."""
+    """Write an answer's opening after some seconds, and then the bytes that it repeats until it is closed.
 
+    Nothing is written while `may_write` returns False; `opened` is called when the opening is written.
+    """
     ends_at = loop.now + after_s + ENDLESS_S
 
-    def repeat() -> None:
+    def write(data: bytes, written: Callable[[], None]) -> None:
         if loop.now >= ends_at:
             connection.channel.abort()
         elif not connection.channel.closed:
-            if connection.channel.unsent < MAX_UNSENT_BYTES:
-                connection.channel.send(answer.repeated)
-            loop.after(answer.interval_s, repeat)
-
-    def begin() -> None:
-        connection.channel.send(answer.opening)
-        loop.after(answer.interval_s, repeat)
+            can_write = may_write() and connection.channel.unsent < MAX_UNSENT_BYTES
+            if can_write:
+                connection.channel.send(data)
+                written()
+                data, written = answer.repeated, lambda: None
+            loop.after(answer.interval_s, partial(write, data, written))
 
-    loop.after(after_s, begin)
+    loop.after(after_s, partial(write, answer.opening, opened))
 
 
 def write_events(
-    loop: Loop, connection: ServerConnection, answer: EndlessAnswer, written: Callable[[], None]
+    loop: Loop,
+    connection: ServerConnection,
+    answer: EndlessAnswer,
+    written: Callable[[], None],
+    may_write: Callable[[], bool],
 ) -> None:
     """Write an answer's head and its sound events, each one interval after the last, then all the rest.
 
-    `written` is called with each sound event, or once where only events that are not sound follow.
+    `written` is called with each sound event, or once where only events that are not sound follow. Nothing is
+    written while `may_write` returns False.
     """
     connection.channel.send(answer.head)
     if not answer.sound_events and answer.repeated == EVENT:
         written()
 
     def write_event() -> None:
-        if not connection.channel.closed:
+        if not connection.channel.closed and may_write():
             connection.channel.send(http.chunk(EVENT))
             written()
 
     for number in range(answer.sound_events):
         loop.after(answer.interval_s * number, write_event)
-    write_endlessly(loop, connection, answer, answer.interval_s * answer.sound_events)
+    opened = written if answer.opens_with_event else lambda: None
+    write_endlessly(loop, connection, answer, answer.interval_s * answer.sound_events, may_write, opened)
--- a/yewlab/processes/soak.py
+++ b/yewlab/processes/soak.py
@@ -5,7 +5,8 @@
 established, watches that end, drains, cold starts, rolling restarts with a second SIGTERM, failing system
 calls and a stepping wall clock. In some seeds two faults overlap. In others (`strain.py`) each fault comes
 beside a crowd of clients that write slowly, never finish or read slowly, clients that leave, or servers that
-write slowly, at processes with the least memory.
+write slowly, at processes with the least memory, or beside servers and discovery whose answers never end
+(`endless_strains.py`).
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 
 from hopshed.interface import Role
 
+from .endless_strains import EndlessStrains, has_endless_answers
 from .http_connections import ClientConnection
 from .instances import Process
 from .operate import FAULT_EVENTS, Operators, Script, ScriptRunner
@@ -92,6 +94,9 @@
             limits=limits,
         )
         self.strains = Strains(self.test_bed, seed) if has_strains(seed) else None
+        self.endless_strains = (
+            EndlessStrains(self.test_bed, self.readers, seed) if has_endless_answers(seed) else None
+        )
         self.loop, self.operators = self.test_bed.loop, Operators(self.test_bed)
         self.idle_connections: list[ClientConnection] = []
         self.with_idle_connections = seed % IDLE_CONNECTION_SEEDS == 0
@@ -111,12 +116,14 @@
         for _ in range(count):
             if self.strains is not None:
                 self.start_strain(self.strains)
+            if self.endless_strains is not None:
+                self.start_strain(self.endless_strains)
             yield from self.pair() if self.in_pairs else self.fault(self.random.choice(FAULT_KINDS))
             yield self.random.uniform(*PAUSE_S)
         test_bed.clients.stopped = True
         yield lambda: not test_bed.clients.open_requests
 
-    def start_strain(self, strains: Strains) -> None:
+    def start_strain(self, strains: Strains | EndlessStrains) -> None:
         """Start a strain beside the next fault."""
         name, script = strains.choose()
         self.record(name)
--- a/yewlab/processes/testbed.py
+++ b/yewlab/processes/testbed.py
@@ -62,6 +62,7 @@
         self.limits = {"cores": 1.0, "memory_mb": 112, "sockets": 384} | (limits or {})
         self.loop, self._environment = Loop(Log("stage")), environment or {}
         self._entries_per_worker = entries_per_worker
+        self._changes, self._last_change = 0, dict[str, int]()  # of entries, by name of the worker
         self.random = Random(f"stage {seed}")
         env = json.loads((ROOT / "deploy" / "settings.json").read_text())
         env["instances"], env["caps"]["may-tell"] = instances, True
@@ -127,10 +128,14 @@
         """
         for listed in [one for one in self.discovery.entries if one.partition(COPY_INFIX)[0] == name]:
             self.discovery.put(listed, **entry)
+        self._changes += 1
+        change = self._last_change[name] = self._changes
         number, runs = self.workers.by_name[name].server_id, entry["lifecycle"] == "up"
         started = float(entry.get("startedAtMs") or 0.0) / 1000.0 or None
 
         def notify() -> None:
+            if self._last_change[name] != change:
+                return  # superseded; the later change is notified in its own time
             for instance in self.instances:
                 self.discovery.on_notified(instance.number, number, runs, started)
 
--- a/yewlab/processes/workers.py
+++ b/yewlab/processes/workers.py
@@ -199,7 +199,7 @@
         def event_written() -> None:
             workers.rules.last_event(attempt.request_id, workers.loop.now)
 
-        write_events(workers.loop, attempt.connection, answer, event_written)
+        write_events(workers.loop, attempt.connection, answer, event_written, lambda: not self.hung)
 
     def _send_events(self, attempt: Attempt) -> None:
         if not attempt.ended:
