--- a/yewhook/platform/workers.py
+++ b/yewhook/platform/workers.py
@@ -24,7 +24,7 @@
 STREAM_SILENCE_S = 2.5
 STREAM_SILENCE_NO_RESUME_S = MAX_EVENT_TIME_S = 4.5
 UNREAD_GRACE_S = 0.02  # added to these limits where the kernel holds unread bytes at that moment
-MAX_UNREAD_GRACE_S = 0.2  # that is added in all, since bytes may arrive without end
+MAX_UNREAD_GRACE_S = 0.1  # that is added in all, since bytes may arrive without end
 REUSE_DELAY_S = 0.03  # for which a kept connection rests before its next exchange
 PARTIAL_TIMEOUT_S = 1.0  # without a byte within a head, a chunk or an event
 
