Tool calls: log why a message is refused, and the requests that a close ends

The log had only client left, though no client had left: it did not tell a refused message from a client's close. message refused now comes for each reason, with bytes and open requests; client left has the requests of a connection.

--- a/yewhook/jsonrpc.py
+++ b/yewhook/jsonrpc.py
@@ -317,10 +317,13 @@
 
     def shed(self) -> None:
         """Refuse a message that has not arrived whole, since memory is short."""
-        self.loop.log("message refused", f"{len(self._buffer)} bytes of it, for the memory that is left")
         self._reject_and_close("too large for the memory that is left")
 
     def _reject_and_close(self, reason: str) -> None:
+        self.loop.log(
+            "message refused",
+            f"{reason}: {len(self._buffer)} bytes; {len(self.open_requests)} requests are open on {self.channel}",
+        )
         self.error(None, RpcError(Code.INVALID_REQUEST, reason))
         self.close_gracefully()
 
--- a/yewhook/toolcalls/clients.py
+++ b/yewhook/toolcalls/clients.py
@@ -202,6 +202,8 @@
 
     def gone(self, peer: Peer) -> None:
         """The connection has ended."""
+        if self.requests:
+            self.front.loop.log("client left", f"{len(self.requests)} requests were open on its connection")
         self._end_requests(Ending.CLIENT_LEFT)
 
     def _end_requests(self, ending: Ending) -> None:
