JSON-RPC: a message that does not arrive whole ends no other request

What callers saw: a client of the tool-calls front sends half of a message, one that never ends, one byte each 0.3 s, or one that is too long, and all other requests of its connection end without an answer; an operator does not hear how an upgrade ended.

Cause: Peer ended the connection for a fault of reading, and the front takes the end of a connection for its client's leave.

Change: such a message gets its error, and the rest of its line is dropped; at the next end of a line the framing is known again. The connection is then drained: new requests are refused, cancellations heard, and it is closed once neither end waits for an answer. Reading goes on, so a client's close is seen as before.

--- a/tests/processes/test_toolcalls_crowds.py
+++ b/tests/processes/test_toolcalls_crowds.py
@@ -2,23 +2,17 @@
 
 from __future__ import annotations
 
-import json
-import os
-import signal
 import socket
-import subprocess
-import sys
 import time
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
-from settings import ENV
+from toolcalls_process import router_process
 
+from yewhook.config import Address
 from yewhook.jsonrpc import MAX_MESSAGE_BYTES
-from yewlab.processes.addresses import free_address
-from yewlab.processes.http_connections import HOST
-from yewlab.processes.instances import ROOT, Process
+from yewlab.processes.instances import Process
 
 LEAST_MEMORY_MB = 32
 SOCKETS = 1024
@@ -28,7 +22,6 @@
 PING_INTERVAL_S = 0.1
 SEND_SIZE_BYTES = 65536
 LONGEST_TURN_S = 0.15
-READY_TIMEOUT_S = 10.0
 PING = b'{"jsonrpc":"2.0","id":1,"method":"ping"}\n'
 MESSAGE_START = b'{"jsonrpc":"2.0","id":1,"method":"chat/completions","params":{"text":"'
 UNFINISHED_MESSAGE = MESSAGE_START + b"x" * (MAX_MESSAGE_BYTES - 10_000)
@@ -36,33 +29,14 @@
 
 
 @pytest.fixture
-def router(tmp_path: Path) -> Iterator[tuple[Process, tuple[str, int]]]:
+def router(tmp_path: Path) -> Iterator[tuple[Process, Address]]:
     """A process with both fronts, and the address of its tool-calls front."""
-    address = free_address(HOST)
-    (tmp_path / "settings.json").write_text(json.dumps(ENV))
-    (tmp_path / "fleet.zone").write_text("$ORIGIN x.example.\n")
-    (tmp_path / "toolcalls.toml").write_text(
-        f'listen = "{HOST}:{address[1]}"\nrecords = "fleet.zone"\ndomain = "x.example."\n'
-        'worker_service = "_worker._tcp"\ntool_service = "_tool._tcp"\nsettings = "settings.json"\n'
-    )
     limits = {"memory_mb": LEAST_MEMORY_MB, "sockets": SOCKETS}
-    config = {"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "limits": limits}
-    (tmp_path / "config.json").write_text(json.dumps(config | {"settings": ENV}))
-    command = [sys.executable, "-m", "yewhook", "serve", "--toolcalls", str(tmp_path / "toolcalls.toml")]
-    env = os.environ | {"PROXY_CONFIG": str(tmp_path / "config.json"), "PROXY_NAME": "n1"}
-    with (tmp_path / "log").open("wb") as out:
-        popen = subprocess.Popen(command, cwd=ROOT, env=env, stderr=out)
-    process = Process(popen, address, tmp_path / "log", time.monotonic())
-    end = time.monotonic() + READY_TIMEOUT_S
-    while not process.count_log_lines("state: starting to ready"):
-        assert time.monotonic() < end and process.running
-        time.sleep(0.05)
-    yield process, address
-    process.send_signal(signal.SIGKILL)
-    popen.wait()
+    with router_process(tmp_path, {}, limits) as process_and_address:
+        yield process_and_address
 
 
-def ping_s(address: tuple[str, int]) -> float:
+def ping_s(address: Address) -> float:
     """How long a ping on a new connection takes; raises OSError after the timeout."""
     began = time.monotonic()
     with socket.create_connection(address, PING_TIMEOUT_S) as sock:
@@ -84,7 +58,7 @@
 # Guards against memory that only one connection's messages are limited by, and against turns that parse them.
 @pytest.mark.parametrize("message", [UNFINISHED_MESSAGE, SMALL_OBJECTS], ids=["unfinished", "small objects"])
 def test_large_messages_of_hundreds_of_clients_neither_exceed_the_memory_nor_keep_others_waiting(
-    router: tuple[Process, tuple[str, int]], message: bytes
+    router: tuple[Process, Address], message: bytes
 ) -> None:
     process, address = router
     clients = [socket.create_connection(address) for _ in range(CONNECTIONS)]
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -237,3 +237,21 @@
     run.until(lambda: (tmp_path / "kept" / "snapshot").exists())
     run.agent.end_all()
     run.agent.close()
+
+
+# Guards against operators who do not hear how an upgrade ended since another message of theirs is bad.
+def test_an_upgrade_is_answered_though_half_a_message_follows_it(router: OneRouter) -> None:
+    router.until(lambda: router.states() == ["ready"])
+    with socket.create_connection(router.address) as operator:
+        call = {"jsonrpc": "2.0", "id": 1, "method": "agent/upgrade", "params": {"name": "n1"}}
+        operator.sendall(json.dumps(call).encode() + b"\n" + b'{"jsonrpc":"2.0","id":2')
+        lines = operator.makefile("rb")
+        router.until(lambda: router.instance._successor is not None)
+        assert router.instance._successor is not None
+        pid = router.instance._successor.process.pid
+        os.kill(pid, signal.SIGSTOP)  # so that the upgrade is open when the half message is refused
+        assert json.loads(router.run_in_thread(lines.readline))["id"] is None
+        os.kill(pid, signal.SIGCONT)
+        answer = json.loads(router.run_in_thread(lines.readline))
+        assert answer["id"] == 1 and answer["result"]["pid"] == pid
+        assert router.run_in_thread(lines.readline) == b""
--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -336,3 +336,40 @@
     scenario.play('other send ask id=3\nother expect "id":3')
     assert "no memory" in scenario.parties["client"].heard
     assert "no memory" not in scenario.parties["other"].heard
+
+
+HALF_MESSAGE = b'{"jsonrpc":"2.0","id":2,"method":"chat/comp'
+STREAM_FINISHED = (
+    'writer send event text=after\nwriter send served\nclient expect after\nclient expect "id":1,"result"'
+)
+
+
+# Guards against running requests that end without an answer since memory is short for another message.
+def test_a_message_that_is_shed_leaves_the_running_requests_of_its_connection(scenario: ToolCalls) -> None:
+    scenario.play(STREAM_STARTED)
+    scenario.parties["client"].send(HALF_MESSAGE + b" " * 100_000)
+    scenario.wait(0.05)
+    memory = scenario.service.loop.memory
+    memory.limit = memory.charged - 50_000
+    scenario.service.loop.relieve_memory()
+    scenario.play(
+        'client expect "id":null,"error":{"code":-32600\n' + STREAM_FINISHED + "\nclient expect closed"
+    )
+    assert memory.shed_count == 1 and memory.charged <= memory.limit
+
+
+# Guards against requests that are read after a bad message and never answered, and cancellations unheard.
+@pytest.mark.parametrize("rest", [b'letions"}\n', b"\n"])
+def test_requests_after_a_message_that_came_too_late_are_refused_and_cancellations_heard(
+    scenario: ToolCalls, rest: bytes
+) -> None:
+    client = scenario.parties["client"]
+    scenario.play(STREAM_STARTED)
+    client.send(HALF_MESSAGE)
+    scenario.play('wait 2.3\nclient expect "id":null,"error"')
+    client.send(rest + MESSAGES["ask"](id="4"))
+    scenario.play(
+        'client expect "id":4,"error":{"code":-32001\nwriter send event text=more\nclient expect more'
+    )
+    scenario.play("client send cancel id=1\nwriter expect notifications/cancelled\nclient expect closed")
+    assert client.heard.count('"id":null') == 1
--- a/yewhook/jsonrpc.py
+++ b/yewhook/jsonrpc.py
@@ -141,6 +141,8 @@
         self.progressed_at = loop.now
         self.message_cost = 0  # bytes of memory that the message being handled takes
         self._slow = False
+        self._skips_line = False  # what arrives is dropped up to the next end of a line
+        self._is_draining = False  # it is closed once nothing is open on it; new requests are refused
         self._timer = Timer(loop)  # limits the connection setup, then the arrival of a partial message
 
     @classmethod
@@ -237,20 +239,26 @@
         if (pending := self._pending.get(request_id)) is not None:
             self.cancel(request_id, "timed out")
             pending.reply(None, RequestTimedOut())
+            self._close_if_drained()
 
     # ---- responses to incoming requests ----
 
     def result(self, request_id: Id, result: Any) -> None:
         """Respond to a request with its result."""
-        self.open_requests.discard(request_id)
         self.idle_since = self.loop.now
         self._send(encode_message({"id": request_id, "result": result}))
+        self.forget_request(request_id)
 
     def error(self, request_id: Id | None, error: RpcError) -> None:
         """Respond with an error; the id is None where the id of the request is unknown."""
-        if request_id is not None:
-            self.open_requests.discard(request_id)
         self._send(encode_message({"id": request_id, "error": error.as_object()}))
+        if request_id is not None:
+            self.forget_request(request_id)
+
+    def forget_request(self, request_id: Id) -> None:
+        """A request of the peer is over: it has its response, or needs none since it was cancelled."""
+        self.open_requests.discard(request_id)
+        self._close_if_drained()
 
     def _send(self, data: bytes) -> None:
         self.channel.send(data)
@@ -283,6 +291,11 @@
     def received(self, data: bytes) -> None:
         """Handle the complete lines and keep the rest for the next read."""
         self.progressed_at = self.loop.now
+        if self._skips_line:
+            _, end_of_line, data = data.partition(b"\n")
+            if not end_of_line:
+                return None
+            self._skips_line = False
         lines = self._complete_lines(data)
         for line in lines:
             if line.strip() and not self.channel.closed:
@@ -291,15 +304,16 @@
             return self._timer.cancel()
         self.loop.memory.hold(self, data_cost(len(self._buffer)))
         if len(self._buffer) > MAX_MESSAGE_BYTES:
-            return self._reject_and_close("the message is too long")
+            return self._reject("the message is too long")
         if not self._buffer or self.channel.closed:
             return self._timer.cancel()
         if lines or self._is_outgoing or not self._timer.running:
-            return self._timer.set(
-                PARTIAL_TIMEOUT_S, lambda: self._reject_and_close("the message took too long to arrive")
-            )
+            return self._timer.set(PARTIAL_TIMEOUT_S, self._message_timed_out)
         return None
 
+    def _message_timed_out(self) -> None:
+        self._reject("the message took too long to arrive")
+
     def _complete_lines(self, data: bytes) -> list[bytes]:
         """Buffer received bytes; returns the lines that are complete now."""
         *lines, rest = data.split(b"\n")
@@ -317,15 +331,36 @@
 
     def shed(self) -> None:
         """Refuse a message that has not arrived whole, since memory is short."""
-        self._reject_and_close("too large for the memory that is left")
+        self._reject("too large for the memory that is left")
 
-    def _reject_and_close(self, reason: str) -> None:
+    def _reject(self, reason: str) -> None:
+        """Refuse a message that does not arrive whole, drop the rest of its line, and drain the connection.
+
+        On connections that were opened here the message is a part of the one exchange, which fails with it.
+        """
+        size, open_count = len(self._buffer), len(self.open_requests)
         self.loop.log(
-            "message refused",
-            f"{reason}: {len(self._buffer)} bytes; {len(self.open_requests)} requests are open on {self.channel}",
+            "message refused", f"{reason}: {size} bytes; {open_count} requests are open on {self.channel}"
         )
+        self._timer.cancel()
+        self._buffer.clear()
+        self.loop.memory.hold(self, 0)
         self.error(None, RpcError(Code.INVALID_REQUEST, reason))
-        self.close_gracefully()
+        if self._is_outgoing:
+            return self.close_gracefully()
+        self._skips_line = self._is_draining = True
+        return self._close_if_drained()
+
+    def _close_if_drained(self) -> None:
+        """Close a draining connection on which neither end waits for a response."""
+        if self._is_draining and not self.open_requests and not self._pending:
+            self.loop.after(0.0, self._close_drained)
+
+    def _close_drained(self) -> None:
+        """Answer what has arrived by now, and close unless this end waits for a response again."""
+        self.channel.catch_up()
+        if not self._pending:
+            self.close_gracefully()
 
     def close_gracefully(self) -> None:
         """Flush the send buffer and close; the handler is told that the peer is gone.
@@ -333,7 +368,7 @@
         If a request is not written completely, the connection is closed at once: the request fails as unsent,
         so the rest of it must not be flushed.
         """
-        if self.channel.closed:
+        if not self.channel.is_open:
             return
         if all(self._is_written(pending) for pending in self._pending.values()):
             self.channel.finish()
@@ -396,6 +431,8 @@
         try:
             if not isinstance(params, dict):
                 raise RpcError(Code.INVALID_PARAMS, "params must be an object")
+            if self._is_draining:
+                raise RpcError(Code.REFUSED, "the connection is being closed; trying again is harmless")
             if len(self.open_requests) >= MAX_OPEN_REQUESTS:
                 raise RpcError(Code.REFUSED, "too many requests open on this connection")
             self.open_requests.add(request_id)
@@ -410,6 +447,7 @@
         if pending is None:
             return self.loop.log("reply nobody waits for", f"id {request_id!r}, late or a duplicate")
         self.loop.deadlines.cancel(pending.timer)
+        self._close_if_drained()
         error = message.get("error")
         if error is None and "result" in message:
             return pending.reply(message["result"], None)
--- a/yewhook/toolcalls/clients.py
+++ b/yewhook/toolcalls/clients.py
@@ -174,7 +174,7 @@
             request = self.requests.get(rpc_id)
             if request is not None:
                 self.remove_request(request)
-                peer.open_requests.discard(rpc_id)
+                peer.forget_request(rpc_id)
                 self.front.router.client_left(request.id)
 
     def remove_request(self, request: ClientRequest) -> None:
--- a/yewhook/toolcalls/workers.py
+++ b/yewhook/toolcalls/workers.py
@@ -93,7 +93,7 @@
         if isinstance(call_id, str | int) and (call := self._tool_calls.pop(call_id, None)) is not None:
             call.cancel("withdrawn by the worker")
             if self.peer is not None:
-                self.peer.open_requests.discard(call_id)
+                self.peer.forget_request(call_id)
             params = {"callId": call_id, "error": TOOL_CALL_CANCELLED.as_object()}
             self._forward(StreamNotification("notifications/tool_result", params))
 
