Tool calls: no time runs against a worker while a slow client pauses its stream

What callers saw: a client that falls behind for over 2.2 s while its worker has written part of a message, or for worker_silence_s, loses its stream.

Cause: the router stops reading a worker while its client is slow, but the time for the message to arrive, and that for the worker to be silent, ran on.

The test failed before (the stream ended 2.2 s into the pause).

--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -338,6 +338,7 @@
     assert "no memory" not in scenario.parties["other"].heard
 
 
+WORKER_SILENCE_S = 5.0  # of the scenario's configuration
 HALF_MESSAGE = b'{"jsonrpc":"2.0","id":2,"method":"chat/comp'
 STREAM_FINISHED = (
     'writer send event text=after\nwriter send served\nclient expect after\nclient expect "id":1,"result"'
@@ -373,3 +374,17 @@
     )
     scenario.play("client send cancel id=1\nwriter expect notifications/cancelled\nclient expect closed")
     assert client.heard.count('"id":null') == 1
+
+
+# Guards against a worker's stream cut off since this end has stopped to read it for a slow client.
+def test_a_message_whose_reading_is_paused_is_not_late(scenario: ToolCalls) -> None:
+    scenario.play(STREAM_STARTED)
+    event = MESSAGES["event"](text="slowly")
+    scenario.parties["writer"].send(event[:40])
+    scenario.wait(0.1)
+    (attempt,) = scenario.front._workers._pending.values()
+    attempt.pause(True)
+    scenario.parties["writer"].send(event[40:])
+    scenario.wait(WORKER_SILENCE_S + 1.0)
+    attempt.pause(False)
+    scenario.play("client expect slowly\n" + STREAM_FINISHED)
--- a/yewhook/jsonrpc.py
+++ b/yewhook/jsonrpc.py
@@ -312,7 +312,10 @@
         return None
 
     def _message_timed_out(self) -> None:
-        self._reject("the message took too long to arrive")
+        """Reject the message that is arriving, unless reading is paused: its rest may be here then."""
+        if self.channel.paused:
+            return self._timer.set(PARTIAL_TIMEOUT_S, self._message_timed_out)
+        return self._reject("the message took too long to arrive")
 
     def _complete_lines(self, data: bytes) -> list[bytes]:
         """Buffer received bytes; returns the lines that are complete now."""
--- a/yewhook/toolcalls/workers.py
+++ b/yewhook/toolcalls/workers.py
@@ -114,8 +114,8 @@
         if self.peer is None:
             return None
         now, silence_timeout_s = self.workers.loop.now, self.workers.silence_timeout_s
-        if self._tool_calls:
-            self._heard_at = now  # the deadline of the tool call applies instead
+        if self._tool_calls or self.peer.channel.paused:
+            self._heard_at = now  # the deadline of the tool call, or the client's reading, applies instead
         if now - self._heard_at >= silence_timeout_s:
             host, port = self.peer.address
             silent_s = now - self._heard_at
