Tool calls: a drain closes no connection on which another message is arriving

What callers saw: while a router drains, hands over or ends, the answer to the last open request of a connection closed it although part of another request had been read, or waited in the socket; that one got neither an answer nor an error.

The test failed before (the second request reached no reader).

--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -12,6 +12,7 @@
 
 from yewhook.jsonrpc import SLOW_PEER_BYTES
 from yewhook.memory_budget import CONNECTION_BYTES
+from yewhook.operations.instance import Event
 
 
 @pytest.fixture
@@ -388,3 +389,17 @@
     scenario.wait(WORKER_SILENCE_S + 1.0)
     attempt.pause(False)
     scenario.play("client expect slowly\n" + STREAM_FINISHED)
+
+
+# Guards against requests that are read while the last one of a connection ends, and are never answered.
+def test_a_request_that_arrives_as_the_last_one_ends_in_a_drain_is_answered(scenario: ToolCalls) -> None:
+    scenario.play(STREAM_STARTED)
+    whole = MESSAGES["ask"](id="2")
+    scenario.parties["client"].send(whole[:40])
+    scenario.wait(0.05)
+    scenario.service.handle_event(Event.DRAIN)
+    scenario.wait(0.6)
+    scenario.play(STREAM_FINISHED)
+    scenario.parties["client"].send(whole[40:])
+    scenario.play('reader expect chat\nreader send error id=2 code=-32602\nclient expect "id":2,"error"')
+    scenario.play("client expect closed")
--- a/yewhook/toolcalls/clients.py
+++ b/yewhook/toolcalls/clients.py
@@ -183,7 +183,12 @@
             self.front.loop.memory.charge(-request.cost)
         self.peer.idle_since = self.front.loop.now
         if self.front.mode.close_idle and not self.requests:
-            self.front.loop.after(0.0, self.peer.close_gracefully)
+            self.front.loop.after(0.0, self._close_if_idle)
+
+    def _close_if_idle(self) -> None:
+        """Close unless another message is arriving, which is owed an answer; the front looks again later."""
+        if self.idle and not self.unread:
+            self.close_gracefully()
 
     def slow(self, peer: Peer, slow: bool) -> None:
         """Pause or resume the streams of a client that reads too slowly; close it if that lasts."""
