--- a/yewhook/agent/instance.py
+++ b/yewhook/agent/instance.py
@@ -245,6 +245,7 @@
         if self._process is None:
             return self._enter_stopped()
         if self.state is not State.STOPPING:
+            self._loop.log("instance ending", f"{self.spec.name} pid {self._process.pid}")
             self._process.terminate()
             self._kill_at = self._latest_end()
             self._set_state(State.STOPPING)
