Hot restart: a process that is told to end before it serves accepts nothing

What callers saw: connections reset unanswered, where a process is sent SIGTERM while it waits for the hand-over of the one before it.

Cause: the service stops its loop at once, since it has no fronts yet; the platform's front is then still made, and put into the state leaving, in which a listener accepts what waits in its queue before it closes. The queue is that of the process before it, and the loop ends without a turn: what it accepted is reset.

Change: begin does nothing where the loop has been stopped. The test, with real processes, failed before: 5 of 5 waiting connections were reset.

--- /dev/null
+++ b/tests/test_orders_at_once.py
@@ -0,0 +1,90 @@
+"""Orders and signals that arrive while an upgrade is under way, with real router processes."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import time
+from collections.abc import Callable, Iterator
+from functools import partial
+from pathlib import Path
+
+import pytest
+from test_orders import OneRouter
+
+from yewhook.operations.orders import Order
+
+END_TIMEOUT_S = 8.0  # far below the grace period of 20 s
+
+
+class UpgradingRouter(OneRouter):
+    """The same, with the answers that the operator of an upgrade has got."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder)
+        self.fleet_path = folder / "fleet.toml"
+        self.fleet_text = self.fleet_path.read_text()
+        self.answers: list[str] = []
+        self.until(lambda: self.states() == ["ready"])
+
+    def upgrade(self, wait_s: float) -> None:
+        """Begin an upgrade, and wait so long."""
+        self.instance.order(Order.UPGRADE, "operator A", self.answers.append)
+        self.run_for(wait_s)
+
+    def run_for(self, seconds: float) -> None:
+        end = time.monotonic() + seconds
+        self.until(lambda: time.monotonic() >= end)
+
+    def reload(self, text: str) -> None:
+        """Have the agent read another fleet file."""
+        self.fleet_path.write_text(text)
+        self.service.reload()
+
+    def until_in_time(self, condition: Callable[[], bool]) -> None:
+        """Wait for a condition that holds long before the grace period is over."""
+        began = time.monotonic()
+        self.until(condition)
+        assert time.monotonic() - began < END_TIMEOUT_S
+        assert not any("instance killed" in line for line in self.log.lines)
+
+    def pids(self) -> list[int]:
+        """The processes that have been started, in order."""
+        lines = [line for line in self.log.lines if line.startswith(("instance started", "upgrade begun"))]
+        return [int(line.split("pid ")[1].split()[0]) for line in lines]
+
+    def has_ended(self, pid: int) -> bool:
+        return not Path(f"/proc/{pid}").exists()
+
+
+@pytest.fixture
+def router(tmp_path: Path) -> Iterator[UpgradingRouter]:
+    run = UpgradingRouter(tmp_path)
+    yield run
+    run.agent.end_all()
+    run.agent.close()
+
+
+# Guards against connections that a process accepts which was told to end before it serves, and never answers.
+def test_a_process_told_to_end_while_it_awaits_its_hand_over_accepts_nothing(router: UpgradingRouter) -> None:
+    (old,) = router.pids()
+    os.kill(old, signal.SIGSTOP)  # so that the hand-over does not come, and connections wait in the queue
+    router.upgrade(0.0)
+    successor = router.pids()[1]
+    handlers = Path(f"/proc/{successor}/status")
+    router.until(lambda: "SigCgt:\t0000000000000000" not in handlers.read_text())
+    waiting = router.run_in_thread(lambda: [connect(router.port) for _ in range(5)])
+    router.run_for(0.25)
+    os.kill(successor, signal.SIGTERM)
+    router.until(lambda: bool(router.answers))
+    os.kill(old, signal.SIGCONT)
+    answers = [router.run_in_thread(partial(sock.recv, 4096)) for sock in waiting]
+    assert all(answer.startswith(b"HTTP/1.1 200") for answer in answers)
+
+
+def connect(port: int) -> socket.socket:
+    """A connection on which a request waits."""
+    sock = socket.create_connection(("127.0.0.1", port), END_TIMEOUT_S)
+    sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+    return sock
--- a/yewhook/service.py
+++ b/yewhook/service.py
@@ -107,7 +107,13 @@
         self.log("stopped")
 
     def begin(self) -> None:
-        """Apply the initial state; serve once worker lists are known or WORKER_LIST_TIMEOUT_S has passed."""
+        """Apply the initial state; serve once worker lists are known or WORKER_LIST_TIMEOUT_S has passed.
+
+        A process that was told to end while it waited for a hand-over does nothing: it must not accept
+        connections that wait for the process before it.
+        """
+        if self.loop.stopped:
+            return
         self._began_at = self.loop.now
         for front in self.fronts:
             front.set_mode(self.instance.front_mode)
