Agent: an order during an upgrade reaches both processes of the instance

After a new fleet file the instance stays stopping, serves on, and takes no further order.

Cause: Instance.stop told _process to end; the successor was told nothing, and became _process of a stopping instance later. A reload reached one process in the same way.

Change: RouterProcess remembers what each process was told. A stop tells all processes that serve or are about to, breaks off the upgrade with a reason for its operator, and lasts until they have exited. A reload is owed by each process. Named again in a fleet file, an instance runs again. A late successor is told to end in place of a kill; one that is ending does not count as serving.

--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -21,6 +21,7 @@
 from yewhook.agent.agent import Agent
 from yewhook.agent.client import ask
 from yewhook.agent.fleet_file import read
+from yewhook.agent.instance import StopReason
 from yewhook.agent.router_link import RouterLink
 from yewhook.cli import app
 from yewhook.config import ConfigError
@@ -168,7 +169,7 @@
     bad = run.run_in_thread(lambda: runner.invoke(app, [*words[:2], "worst", *words[3:]]))
     assert bad.exit_code == 1 and "expected one of full, guarded" in bad.output
     # A router that has stopped is reported as not told.
-    run.agent.instances["n0"].stop()
+    run.agent.instances["n0"].stop(StopReason.OPERATOR)
     run.until(lambda: run.states()[0] == "stopped")
     ended = run.run_in_thread(lambda: runner.invoke(app, ["levels", "unpin", "--agent", agent_address]))
     assert ended.exit_code == 1 and "n0 could not be told" in ended.output and "n1 told" in ended.output
--- a/tests/test_agent_grace.py
+++ b/tests/test_agent_grace.py
@@ -10,6 +10,7 @@
 import pytest
 from test_orders import OneRouter
 
+from yewhook.agent.instance import StopReason
 from yewhook.operations.orders import Order
 
 EARLIEST_KILL_S = 3.7  # after SIGTERM, as the platform has it
@@ -34,7 +35,7 @@
     router.until(lambda: router.states() == ["ready"])
     pid = router.instance.report()["pid"]
     os.kill(pid, signal.SIGSTOP)
-    router.instance.stop(restart)
+    router.instance.stop(StopReason.OPERATOR, restart)
     router.until(lambda: router.states() == (["ready"] if restart else ["stopped"]))
     assert any(f"instance killed: n1 pid {pid}" in line for line in router.log.lines)
     router.agent.end_all()
@@ -61,14 +62,16 @@
     pid = router.instance.report()["pid"]
     ended: list[str] = []
     router.instance.order(Order.UPGRADE, "a test", ended.append)
-    router.until(lambda: router.instance._successor is None or router.instance._successor.link.status != {})
+    router.until(
+        lambda: router.instance._successor is None or router.instance._successor.process.link.status != {}
+    )
     os.kill(pid, signal.SIGSTOP)  # as if a stream ran on
     router.until(lambda: bool(ended))
     end = time.monotonic() + EARLIEST_KILL_S + 1.0
     router.until(lambda: time.monotonic() > end)
-    assert ended == [""] and [old.pid for old, _ in router.instance._old_processes] == [pid]
+    assert ended == [""] and [old.pid for old in router.instance._replaced] == [pid]
     os.kill(pid, signal.SIGCONT)
-    router.until(lambda: not router.instance._old_processes)
+    router.until(lambda: not router.instance._replaced)
     assert not any("killed" in line for line in router.log.lines)
     router.agent.end_all()
     router.agent.close()
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -100,7 +100,7 @@
     done = router.command("upgrade", "n1")
     assert done.exit_code == 0 and str(router.instance.report()["pid"]) in done.output
     assert router.instance.report()["pid"] != pid and router.health() == 200
-    router.until(lambda: not router.instance._old_processes)
+    router.until(lambda: not router.instance._replaced)
     assert router.instance.restarts == 0 and any("upgraded" in line for line in router.log.lines)
 
 
--- a/tests/test_orders_at_once.py
+++ b/tests/test_orders_at_once.py
@@ -16,6 +16,7 @@
 from yewhook.operations.orders import Order
 
 END_TIMEOUT_S = 8.0  # far below the grace period of 20 s
+MOMENTS_S = (0.0, 0.15, 0.3, 0.45)  # after the upgrade began; it takes about 0.4 s
 
 
 class UpgradingRouter(OneRouter):
@@ -66,6 +67,70 @@
     run.agent.close()
 
 
+# Guards against a successor that nobody tells to end: it served for the whole grace period, then was killed.
+@pytest.mark.parametrize("wait_s", MOMENTS_S)
+@pytest.mark.parametrize("signals", [1, 2])
+def test_a_shutdown_during_an_upgrade_ends_both_processes(
+    router: UpgradingRouter, wait_s: float, signals: int
+) -> None:
+    router.upgrade(wait_s)
+    for _ in range(signals):
+        router.sigterm()
+        router.run_for(0.05)
+    router.until_in_time(lambda: router.service.loop.stopped)
+    assert len(router.answers) == 1 and all(map(router.has_ended, router.pids()))
+
+
+# Guards against an instance that stays "stopping", and serves on, after a new fleet file during an upgrade.
+@pytest.mark.parametrize("wait_s", MOMENTS_S)
+def test_a_changed_entry_during_an_upgrade_restarts_the_instance_once(
+    router: UpgradingRouter, wait_s: float
+) -> None:
+    router.upgrade(wait_s)
+    (router.fleet_path.parent / "service.toml").write_text("")
+    router.reload(router.fleet_text.replace('"n1.json"', '"n1.json"\nsettings = "service.toml"'))
+    router.until_in_time(lambda: len(router.pids()) == 3 and router.states() == ["ready"])
+    before, new = router.pids()[:2], router.pids()[2]
+    assert all(map(router.has_ended, before)) and router.instance.report()["pid"] == new
+    assert len(router.answers) == 1 and router.instance.restarts == 0 and router.health() == 200
+
+
+# Guards against a removed instance that serves on, and against one that comes back and stays stopped.
+@pytest.mark.parametrize("comes_back", [False, True])
+@pytest.mark.parametrize("wait_s", MOMENTS_S)
+def test_an_entry_that_is_removed_during_an_upgrade_ends_and_may_come_back(
+    router: UpgradingRouter, wait_s: float, comes_back: bool
+) -> None:
+    router.upgrade(wait_s)
+    router.reload(router.fleet_text.replace('"n1"', '"n9"'))  # at the same address
+    if comes_back:
+        router.reload(router.fleet_text)
+    name = "n1" if comes_back else "n9"
+    router.until_in_time(lambda: list(router.agent.instances) == [name] and router.states() == ["ready"])
+    assert router.health() == 200
+    assert len(router.answers) == 1 and all(map(router.has_ended, router.pids()[:2]))
+
+
+# Guards against a reload that only the old process of an upgrade hears.
+@pytest.mark.parametrize("wait_s", MOMENTS_S)
+def test_a_reload_during_an_upgrade_reaches_the_new_process(
+    router: UpgradingRouter, wait_s: float, capfd: pytest.CaptureFixture[str]
+) -> None:
+    router.upgrade(wait_s)
+    router.reload(router.fleet_text)
+    router.until(lambda: bool(router.answers))
+    heard = ""
+
+    def new_process_has_reloaded() -> bool:
+        nonlocal heard
+        heard += capfd.readouterr().err
+        return "reloaded" in heard.partition("succeeding to ready")[2]
+
+    router.until_in_time(new_process_has_reloaded)
+    assert router.answers == [""]
+    assert router.health() == 200
+
+
 # Guards against connections that a process accepts which was told to end before it serves, and never answers.
 def test_a_process_told_to_end_while_it_awaits_its_hand_over_accepts_nothing(router: UpgradingRouter) -> None:
     (old,) = router.pids()
--- a/yewhook/agent/agent.py
+++ b/yewhook/agent/agent.py
@@ -20,7 +20,8 @@
 from ..operations.orders import ActiveOrder, Order, OrderRefused, Orders
 from ..recovery.start_order import next_to_start
 from .fleet_file import FleetFile, InstanceSpec
-from .instance import MIN_KILL_TIMEOUT_S, Instance, State
+from .instance import MIN_KILL_TIMEOUT_S, Instance, State, StopReason
+from .router_process import ProcessLauncher
 
 if TYPE_CHECKING:
     from ..recovery.desired_state_store import DesiredStateStore
@@ -80,7 +81,7 @@
             self.loop,
             spec,
             self._publish,
-            Path(self._folder.name),
+            ProcessLauncher(self.loop, Path(self._folder.name)),
             self._store_desired_state,
             lambda: self.grace,
         )
@@ -167,8 +168,8 @@
             return peer.result(request_id, {})
         actions: dict[str, Callable[[Instance], None]] = {
             "agent/start": Instance.start,
-            "agent/stop": Instance.stop,
-            "agent/restart": lambda instance: instance.stop(restart=True),
+            "agent/stop": lambda instance: instance.stop(StopReason.OPERATOR),
+            "agent/restart": lambda instance: instance.stop(StopReason.OPERATOR, restart=True),
         }
         if method not in actions and method not in ORDERS:
             raise RpcError(Code.METHOD_NOT_FOUND, f"unknown method {method!r}")
@@ -251,7 +252,7 @@
             self.fleet, self.grace = fleet, max(MIN_KILL_TIMEOUT_S, fleet.grace)
             specs = {spec.name: spec for spec in fleet.instances}
             for name in self.instances.keys() - specs.keys():
-                self.instances[name].stop()
+                self.instances[name].remove()
             for name, spec in specs.items():
                 if name in self.instances:
                     self.instances[name].reload(spec)
@@ -279,7 +280,7 @@
         """Stop the instances if the process is to end; the agent answers until the last has stopped."""
         if not mode.keep_alive:
             for instance in self.instances.values():
-                instance.stop()
+                instance.stop(StopReason.SHUTDOWN)
 
     def move_streams(self, part: float) -> None:
         """Nothing: the routers move their own streams."""
--- a/yewhook/agent/instance.py
+++ b/yewhook/agent/instance.py
@@ -2,23 +2,17 @@
 
 from __future__ import annotations
 
-import math
-import signal
-import socket
-import subprocess
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from functools import partial
-from pathlib import Path
 from typing import Any
 
-from ..acceptor import listen
 from ..loop import Loop
 from ..operations.orders import Order, OrderRefused, Orders
 from .fleet_file import InstanceSpec
 from .probe import PROBE_TIMEOUT_S, Probe
-from .router_link import RouterLink
+from .router_process import Launcher, Link, RouterProcess
 
 PROBE_INTERVAL_S = 0.5
 MAX_FAILED_PROBES = 3  # in succession; then the instance is unresponsive
@@ -38,10 +32,18 @@
     UNRESPONSIVE = "unresponsive"  # its process runs and no longer answers probes
     WAITING = "waiting"  # its process has exited and is restarted after the backoff
     DRAINED = "drained"  # by an operator's order; its process finishes its requests and keeps running
-    STOPPING = "stopping"  # its process was told to finish its requests and exit
+    STOPPING = "stopping"  # its processes were told to finish their requests and exit
     STOPPED = "stopped"
 
 
+class StopReason(Enum):
+    """Why an instance is stopped; the values are told to the operator of an upgrade that this breaks off."""
+
+    OPERATOR = "an operator has stopped the instance"
+    FLEET_FILE = "a new fleet file has changed or removed the instance"
+    SHUTDOWN = "the agent shuts down"
+
+
 PROBED_STATES = frozenset({State.STARTING, State.READY, State.DRAINED, State.UNRESPONSIVE})
 
 
@@ -53,40 +55,53 @@
         loop: Loop,
         spec: InstanceSpec,
         changed: Callable[[], None],
-        folder: Path,
+        launcher: Launcher,
         store_desired_state: Callable[[Instance, Orders, bool], None],
         grace: Callable[[], float],
     ) -> None:
-        """`changed` is called at each change of the state; `folder` holds the files by which the processes of
-        an instance find each other. `store_desired_state` stores orders and whether the instance is to run;
-        it raises OrderRefused if that fails. `grace` returns the seconds in which a process that was told to
-        end may finish its requests.
+        """`changed` is called at each change of the state; `launcher` starts the processes.
+        `store_desired_state` stores orders and whether the instance is to run; it raises OrderRefused if that
+        fails. `grace` returns the seconds in which a process that was told to end may finish its requests.
         """
         self._grace = grace
-        self.spec, self.state, self._folder = spec, State.STOPPED, folder
+        self.spec, self.state, self._launcher = spec, State.STOPPED, launcher
         self._store_desired_state, self.wanted = store_desired_state, True
         self.orders = Orders()
-        self._successor: Successor | None = None
-        # Replaced processes, and when each is killed if it still runs.
-        self._old_processes: list[tuple[subprocess.Popen[bytes], float]] = []
-        self._listener: socket.socket | None = None  # shared by its processes if they can be replaced
+        self._process: RouterProcess | None = None  # the one that serves, or starts to
+        self._successor: Successor | None = None  # while an upgrade is under way
+        self._stopping: list[RouterProcess] = []  # told to end by a stop, which lasts until they have exited
+        self._replaced: list[RouterProcess] = []  # told to end since another one serves in their place
         self.restarts = 0
         self._loop, self._changed = loop, changed
-        self._process: subprocess.Popen[bytes] | None = None
         self._state_since = loop.now
         self._backoff = INITIAL_BACKOFF_S
         self._restart_at = 0.0
         self._restart_after_stop = False
-        self._kill_at = math.inf  # when the process is killed if it still runs
-        self._reload_pending = False  # SIGHUP is to be sent once a probe succeeds
+        self._is_removed = False  # from the fleet file
         self._probe_results: dict[str, bool] = {}
         self._next_probe_at, self._failed_probes = 0.0, 0
-        self.link: RouterLink | None = None
 
     @property
     def running(self) -> bool:
         """Whether any process of it still runs."""
-        return self._process is not None or bool(self._old_processes)
+        return bool(self._processes)
+
+    @property
+    def _processes(self) -> list[RouterProcess]:
+        """All processes that have not exited, as far as is known."""
+        current = [self._process] if self._process is not None else []
+        successors = [self._successor.process] if self._successor is not None else []
+        return [*current, *successors, *self._stopping, *self._replaced]
+
+    @property
+    def _main_process(self) -> RouterProcess | None:
+        """The process that stands for the instance in reports."""
+        return self._process or next(iter(self._stopping), None)
+
+    @property
+    def link(self) -> Link | None:
+        """The connection to that process."""
+        return self._main_process.link if self._main_process is not None else None
 
     def _set_state(self, state: State) -> None:
         if state is not self.state:
@@ -99,11 +114,11 @@
 
     def start(self) -> None:
         """Start its process, or start it again once it has stopped if it is stopping."""
-        if self._process is not None:
+        if self.state is State.STOPPING or self._process is not None:
             self._restart_after_stop = self.state is State.STOPPING
             return
         try:
-            self._process, self.link = self._spawn()
+            self._process = self._launcher.launch(self.spec, self.orders.drain is not None)
         except OSError as error:
             self._loop.log("instance not started", f"{self.spec.name}: {error}")
             return self._schedule_restart()
@@ -111,41 +126,6 @@
         self._loop.log("instance started", f"{self.spec.name} pid {self._process.pid}")
         return self._set_state(State.STARTING)
 
-    def _spawn(self) -> tuple[subprocess.Popen[bytes], RouterLink]:
-        """Start a process and the connection to it. Raises OSError."""
-        link, environ = RouterLink(self._loop), self.spec.environ()
-        inherited = [link.descriptor]
-        try:
-            if self.spec.upgradable:
-                listener = self._open_listener()
-                inherited.append(listener.fileno())
-                environ |= {"PROXY_ACCEPT_FD": str(listener.fileno()), "TMPDIR": str(self._folder)}
-            process = subprocess.Popen(
-                self.spec.command(link.descriptor, self.orders.drain is not None),
-                env=environ,
-                stdin=subprocess.DEVNULL,
-                cwd=Path.cwd(),
-                pass_fds=inherited,
-            )
-        except OSError:
-            link.close()
-            raise
-        finally:
-            link.close_router_end()
-        return process, link
-
-    def _open_listener(self) -> socket.socket:
-        """The clients' listening socket, which each process inherits. Raises OSError."""
-        if self._listener is None or self._listener.getsockname() != self.spec.fronts["platform"]:
-            self._close_listener()
-            self._listener = listen(self.spec.fronts["platform"])
-        return self._listener
-
-    def _close_listener(self) -> None:
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
-
     # ---- orders ----
 
     def order(self, order: Order, by: str, done: Callable[[str], None]) -> None:
@@ -184,96 +164,126 @@
 
     def _start_upgrade(self, done: Callable[[str], None]) -> None:
         try:
-            process, link = self._spawn()
+            process = self._launcher.launch(self.spec, self.orders.drain is not None)
         except OSError as error:
             self.orders = self.orders.without_upgrade()
             return done(str(error))
         self._loop.log(
             "upgrade begun", f"{self.spec.name} pid {process.pid} replaces pid {self.report()['pid']}"
         )
-        self._successor = Successor(process, link, self._loop.now + SUCCESSOR_TIMEOUT_S, done)
+        self._successor = Successor(process, self._loop.now + SUCCESSOR_TIMEOUT_S, done)
         return None
 
     def _check_successor(self, successor: Successor) -> None:
-        code, status = successor.process.poll(), successor.link.status
-        if code is None and status.get("serves") and self._process is not None:
-            self._process.terminate()
-            self._old_processes.append((self._process, self._latest_end()))
-            self._close_link()
-            self._process, self.link = successor.process, successor.link
-            return self._end_upgrade(successor, "")
-        if code is not None:
+        process = successor.process
+        if (code := process.exit_code) is not None:
+            process.link.close()
             return self._end_upgrade(
                 successor, f"the new process exited with status {code}; the old one keeps serving"
             )
+        if process.serves and self._process is not None:
+            self._replace(self._process)
+            self._process = process
+            return self._end_upgrade(successor, "")
         if self._loop.now >= successor.deadline:
-            successor.process.kill()
-            successor.process.wait()
+            self._replace(process)
             return self._end_upgrade(
                 successor,
                 f"the new process was not ready in {SUCCESSOR_TIMEOUT_S:.0f} s; the old one keeps serving",
             )
-        return successor.link.request_status()
+        return process.link.request_status()
 
     def _end_upgrade(self, successor: Successor, failure: str) -> None:
         self._successor, self.orders = None, self.orders.without_upgrade()
         if failure:
-            successor.link.close()
             self._loop.log("upgrade failed", f"{self.spec.name}: {failure}")
         else:
             self._loop.log("upgraded", f"{self.spec.name} pid {successor.process.pid}")
         self._next_probe_at = self._loop.now
         successor.done(failure)
 
-    def _latest_end(self) -> float:
-        """When a process that is told to end now is killed, in seconds of the loop's clock."""
-        return self._loop.now + max(MIN_KILL_TIMEOUT_S, self._grace())
+    def _replace(self, process: RouterProcess) -> None:
+        """Tell a process to end while another one serves."""
+        self._end(process)
+        self._replaced.append(process)
 
-    def _close_link(self) -> None:
-        if self.link is not None:
-            self.link.close()
-            self.link = None
+    def _end(self, process: RouterProcess) -> None:
+        """Tell a process to finish its requests and exit."""
+        self._loop.log("instance ending", f"{self.spec.name} pid {process.pid}")
+        process.end(self._loop.now + max(MIN_KILL_TIMEOUT_S, self._grace()))
 
     def _schedule_restart(self) -> None:
         self._restart_at = self._loop.now + self._backoff
         self._backoff = min(2 * self._backoff, MAX_BACKOFF_S)
         self._set_state(State.WAITING)
 
-    def stop(self, restart: bool = False) -> None:
-        """Tell its process to finish its requests and exit; with `restart`, start a new one after that."""
+    def stop(self, reason: StopReason, restart: bool = False) -> None:
+        """Tell its processes to finish their requests and exit; with `restart`, start a new one after that.
+
+        An upgrade that is under way is broken off: `reason` is what its operator is told. The last order says
+        whether a new process is started.
+        """
         self._restart_after_stop = restart
-        if self._process is None:
+        if self.state is State.STOPPING:
+            return None
+        successor = self._successor
+        stopping = [self._process, successor.process if successor is not None else None]
+        self._stopping = [process for process in stopping if process is not None]
+        self._process = None
+        for process in self._stopping:
+            self._end(process)
+        if not self._stopping:
             return self._enter_stopped()
-        if self.state is not State.STOPPING:
-            self._loop.log("instance ending", f"{self.spec.name} pid {self._process.pid}")
-            self._process.terminate()
-            self._kill_at = self._latest_end()
-            self._set_state(State.STOPPING)
+        self._set_state(State.STOPPING)
+        if successor is not None:
+            self._end_upgrade(successor, f"broken off: {reason.value}")
         return None
 
+    def remove(self) -> None:
+        """Stop it since the fleet file does not name it any more; a later one may name it again."""
+        self._is_removed = True
+        self.stop(StopReason.FLEET_FILE)
+
     def _enter_stopped(self) -> None:
         self._set_state(State.STOPPED)
         if self._restart_after_stop:
             return self.start()
-        # While the socket is open, clients connect and wait although no process accepts.
-        return self._close_listener()
+        return self._launcher.close_listener()
 
     def reload(self, spec: InstanceSpec) -> None:
         """Apply a new fleet file: restart if the entry has changed, else have the router reload its files."""
         changed, self.spec = spec != self.spec, spec
-        if changed and self.running and self.state is not State.STOPPING:
-            self.stop(restart=True)
-        self._reload_pending = self.running and not changed
+        if self._is_removed:
+            return self._return_to_fleet()
+        if not changed:
+            for process in self._serving_processes:
+                process.reload_pending = True
+        elif self._process is not None:
+            self.stop(StopReason.FLEET_FILE, restart=True)
+        return None
+
+    def _return_to_fleet(self) -> None:
+        """Run again, unless an operator wants it stopped."""
+        self._is_removed = False
+        if not self.wanted:
+            return
+        if self.state is State.STOPPING:
+            self._restart_after_stop = True
+        else:
+            self.wait_for_start()
+
+    @property
+    def _serving_processes(self) -> list[RouterProcess]:
+        """Those that have not been told to end."""
+        ending = {*self._stopping, *self._replaced}
+        return [process for process in self._processes if process not in ending]
 
     def kill(self) -> None:
-        """Kill its processes, those that were replaced among them."""
-        processes = [old for old, _ in self._old_processes]
-        if self._process is not None:
-            processes.append(self._process)
-        for process in processes:
+        """Kill all its processes."""
+        for process in self._processes:
             self._kill(process)
 
-    def _kill(self, process: subprocess.Popen[bytes]) -> None:
+    def _kill(self, process: RouterProcess) -> None:
         self._loop.log(
             "instance killed", f"{self.spec.name} pid {process.pid}: not finished within the grace period"
         )
@@ -281,45 +291,24 @@
 
     def reap(self) -> None:
         """Wait for its processes to exit and close its sockets; a successor is killed."""
-        successors = [self._successor.process] if self._successor is not None else []
-        for process in successors:
-            process.kill()
-        for process in [*successors, *(old for old, _ in self._old_processes)]:
-            process.wait()
-        if self._process is not None:
-            self._process.wait()
-            self._process = None
-        self._close_link()
-        self._close_listener()
+        if self._successor is not None:
+            self._successor.process.kill()
+        for process in self._processes:
+            process.reap()
+        self._process, self._successor, self._stopping, self._replaced = None, None, [], []
+        self._launcher.close_listener()
 
     def poll(self) -> None:
         """Check its processes, restart or probe them when due, and complete an upgrade."""
         now = self._loop.now
-        for process, deadline in self._old_processes:
-            if process.poll() is None and now >= deadline:
-                self._kill(process)
-        self._old_processes = [
-            (process, deadline) for process, deadline in self._old_processes if process.poll() is None
-        ]
+        self._replaced = self._still_running(self._replaced)
+        self._stopping = self._still_running(self._stopping)
+        if self.state is State.STOPPING and not self._stopping:
+            return self._enter_stopped()
         if self._successor is not None:
             self._check_successor(self._successor)
-        if self.state is State.STOPPING and self._process is not None and now >= self._kill_at:
-            self._kill_at = math.inf
-            self._kill(self._process)
-        if self._process is not None and (code := self._process.poll()) is not None:
-            self._process = None
-            self._close_link()
-            if self._successor is not None:  # takes over at once, in place of a restart
-                self._process, self.link = self._successor.process, self._successor.link
-                self._end_upgrade(self._successor, "")
-                return self._set_state(State.STARTING)
-            if self.state is State.STOPPING:
-                return self._enter_stopped()
-            self._loop.log(
-                "instance exited", f"{self.spec.name} with status {code}; restart in {self._backoff:.1f} s"
-            )
-            self.restarts += 1
-            self._schedule_restart()
+        if self._process is not None and (code := self._process.exit_code) is not None:
+            self._process_exited(self._process, code)
         elif self.state is State.WAITING and now >= self._restart_at:
             self.start()
         elif self.state in PROBED_STATES and now >= self._next_probe_at:
@@ -329,6 +318,31 @@
             self._backoff = INITIAL_BACKOFF_S
         return None
 
+    def _still_running(self, ending: list[RouterProcess]) -> list[RouterProcess]:
+        """Those of the processes told to end that have not exited; kills those that are overdue."""
+        running = [process for process in ending if process.exit_code is None]
+        for process in running:
+            if process.is_overdue(self._loop.now):
+                self._kill(process)
+        for process in ending:
+            if process not in running:
+                process.link.close()
+        return running
+
+    def _process_exited(self, process: RouterProcess, code: int) -> None:
+        """It was not told to: a successor takes over at once, else a new one is started after the backoff."""
+        process.link.close()
+        if (successor := self._successor) is not None:
+            self._process = successor.process
+            self._end_upgrade(successor, "")
+            return self._set_state(State.STARTING)
+        self._process = None
+        self._loop.log(
+            "instance exited", f"{self.spec.name} with status {code}; restart in {self._backoff:.1f} s"
+        )
+        self.restarts += 1
+        return self._schedule_restart()
+
     def _probe(self) -> None:
         results = self._probe_results = {}
         process = self._process
@@ -348,11 +362,9 @@
         self._failed_probes = 0 if success else self._failed_probes + 1
         if success:
             self._set_state(State.READY if self.orders.drain is None else State.DRAINED)
-            if self.link is not None:
-                self.link.request_status()
-            if self._reload_pending and self._process is not None:
-                self._reload_pending = False
-                self._process.send_signal(signal.SIGHUP)
+            if self._process is not None:
+                self._process.link.request_status()
+                self._process.reload_if_pending()
         elif self.state in (State.READY, State.DRAINED) and self._failed_probes >= MAX_FAILED_PROBES:
             self._loop.log("instance unresponsive", self.spec.name)
             self._set_state(State.UNRESPONSIVE)
@@ -362,7 +374,7 @@
         return {
             "name": self.spec.name,
             "state": self.state.value,
-            "pid": self._process.pid if self._process is not None else None,
+            "pid": self._main_process.pid if self._main_process is not None else None,
             "restarts": self.restarts,
             "since_s": round(self._loop.now - self._state_since, 1),
             "listen": {front: f"{host}:{port}" for front, (host, port) in self.spec.fronts.items()},
@@ -383,7 +395,6 @@
 class Successor:
     """A new process that is to take over the instance in an upgrade."""
 
-    process: subprocess.Popen[bytes]
-    link: RouterLink
+    process: RouterProcess
     deadline: float  # the loop's time in seconds at which the upgrade fails
     done: Callable[[str], None]
