Agent: an order during a shutdown starts no process

What callers saw: start, restart or a new fleet file while the agent shuts down starts routers anew, which are killed at the end of the grace period with what they serve.

Cause: nothing told the instances apart from ones that are stopped for good.

Change: the agent refuses orders and leaves the fleet file once it shuts down. The three tests, with real processes, failed before (the orders were accepted).

--- a/tests/test_orders_at_once.py
+++ b/tests/test_orders_at_once.py
@@ -131,6 +131,19 @@
     assert router.health() == 200
 
 
+# Guards against an agent that starts routers anew while it shuts down, and kills them at its end.
+@pytest.mark.parametrize("order", ["start", "restart", "reload"])
+def test_an_order_during_a_shutdown_starts_nothing(router: UpgradingRouter, order: str) -> None:
+    router.sigterm()
+    router.until(lambda: router.states() == ["stopping"])
+    if order == "reload":
+        router.reload(router.fleet_text.replace('"n1"', '"n9"'))
+    else:
+        assert router.command(order, "n1").exit_code == 1
+    router.until_in_time(lambda: router.service.loop.stopped)
+    assert len(router.pids()) == 1
+
+
 # Guards against connections that a process accepts which was told to end before it serves, and never answers.
 def test_a_process_told_to_end_while_it_awaits_its_hand_over_accepts_nothing(router: UpgradingRouter) -> None:
     (old,) = router.pids()
--- a/yewhook/agent/agent.py
+++ b/yewhook/agent/agent.py
@@ -64,6 +64,7 @@
         self.grace = max(MIN_KILL_TIMEOUT_S, fleet.grace)
         self._read_fleet_file = read_fleet_file
         self._stop = stop
+        self._is_ending = False  # told to shut down: no process is started any more
         loop.memory.limit = CONNECTION_MEMORY_BYTES
         self._peers = peers = AgentPeers(loop, self)
         self._folder = tempfile.TemporaryDirectory(prefix="yewhook-agent-")
@@ -173,6 +174,8 @@
         }
         if method not in actions and method not in ORDERS:
             raise RpcError(Code.METHOD_NOT_FOUND, f"unknown method {method!r}")
+        if self._is_ending:
+            raise RpcError(Code.INVALID_REQUEST, StopReason.SHUTDOWN.value)
         instance = self.instances.get(str(params.get("name")))
         if instance is None:
             raise RpcError(Code.INVALID_PARAMS, f"no instance named {params.get('name')!r}")
@@ -249,6 +252,8 @@
 
         def apply() -> str:
             """Put everything into effect except the address at which the agent listens."""
+            if self._is_ending:
+                return "nothing, since the agent shuts down"
             self.fleet, self.grace = fleet, max(MIN_KILL_TIMEOUT_S, fleet.grace)
             specs = {spec.name: spec for spec in fleet.instances}
             for name in self.instances.keys() - specs.keys():
@@ -279,6 +284,7 @@
     def set_mode(self, mode: FrontMode) -> None:
         """Stop the instances if the process is to end; the agent answers until the last has stopped."""
         if not mode.keep_alive:
+            self._is_ending = True
             for instance in self.instances.values():
                 instance.stop(StopReason.SHUTDOWN)
 
