--- a/tests/processes/test_bad_message_beside_requests.py
+++ b/tests/processes/test_bad_message_beside_requests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 import socket
 import threading
 import time
@@ -184,12 +183,6 @@
             assert b"notifications/cancelled" in data
 
 
-def processor_s(process: Process) -> float:
-    """Processor time that the process has taken, in seconds."""
-    fields = Path(f"/proc/{process.popen.pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 # Guards against messages without end that keep other clients waiting while they are read and dropped.
 def test_messages_without_end_beside_streams_keep_no_other_client_waiting(router: Router) -> None:
     process, address, workers = router
--- a/tests/test_orders_at_once.py
+++ b/tests/test_orders_at_once.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import signal
 import socket
@@ -14,6 +15,7 @@
 from test_orders import OneRouter
 
 from yewhook.operations.orders import Order
+from yewlab.processes.addresses import free_address
 
 END_TIMEOUT_S = 8.0  # far below the grace period of 20 s
 MOMENTS_S = (0.0, 0.15, 0.3, 0.45)  # after the upgrade began; it takes about 0.4 s
@@ -137,7 +139,10 @@
     router.sigterm()
     router.until(lambda: router.states() == ["stopping"])
     if order == "reload":
-        router.reload(router.fleet_text.replace('"n1"', '"n9"'))
+        _, port = free_address("127.0.0.1")
+        config = json.loads(router.config.read_text()) | {"name": "n9", "listen": f"127.0.0.1:{port}"}
+        router.config.with_name("n9.json").write_text(json.dumps(config))
+        router.reload(router.fleet_text.replace("n1", "n9"))
     else:
         assert router.command(order, "n1").exit_code == 1
     router.until_in_time(lambda: router.service.loop.stopped)
