--- a/tests/test_toolcalls.py
+++ b/tests/test_toolcalls.py
@@ -10,7 +10,7 @@
 from scenario import FakePeer
 from toolcalls_scenario import MESSAGES, STREAM_STARTED, TOOL_CALLED, ToolCalls
 
-from yewhook.jsonrpc import SLOW_PEER_BYTES
+from yewhook.jsonrpc import PARTIAL_TIMEOUT_S, PAUSED_TIMEOUT_S, SLOW_PEER_BYTES
 from yewhook.memory_budget import CONNECTION_BYTES
 from yewhook.operations.instance import Event
 
@@ -391,6 +391,20 @@
     scenario.play("client expect slowly\n" + STREAM_FINISHED)
 
 
+# Guards against half a message that is kept for ever since its client reads nothing either.
+def test_half_a_message_of_a_client_that_reads_nothing_is_refused(scenario: ToolCalls) -> None:
+    client = scenario.parties["client"]
+    client.unread = True
+    client.send(HALF_MESSAGE)
+    scenario.wait(0.05)
+    (connection,) = scenario.front.clients.connections
+    connection.peer.channel.pause(True)
+    scenario.wait(PAUSED_TIMEOUT_S - 2.0)
+    assert connection.peer.channel.is_open
+    scenario.wait(2.0 + PARTIAL_TIMEOUT_S + 0.1)
+    assert not connection.peer.channel.is_open and not scenario.front.clients.connections
+
+
 # Guards against requests that are read while the last one of a connection ends, and are never answered.
 def test_a_request_that_arrives_as_the_last_one_ends_in_a_drain_is_answered(scenario: ToolCalls) -> None:
     scenario.play(STREAM_STARTED)
--- a/yewhook/jsonrpc.py
+++ b/yewhook/jsonrpc.py
@@ -26,6 +26,9 @@
 # Time for a message to arrive completely, from its first byte. On connections that were opened here, to
 # servers that may write slowly, it runs from the last byte.
 PARTIAL_TIMEOUT_S = 2.2
+PAUSED_TIMEOUT_S = (
+    10.0  # the same for accepted connections that are not read, since the other end reads slowly
+)
 
 
 class Code(IntEnum):
@@ -141,6 +144,7 @@
         self.progressed_at = loop.now
         self.message_cost = 0  # bytes of memory that the message being handled takes
         self._slow = False
+        self._message_began_at = loop.now  # the time from which a partial message is late
         self._skips_line = False  # what arrives is dropped up to the next end of a line
         self._is_draining = False  # it is closed once nothing is open on it; new requests are refused
         self._timer = Timer(loop)  # limits the connection setup, then the arrival of a partial message
@@ -308,12 +312,14 @@
         if not self._buffer or self.channel.closed:
             return self._timer.cancel()
         if lines or self._is_outgoing or not self._timer.running:
+            self._message_began_at = self.loop.now
             return self._timer.set(PARTIAL_TIMEOUT_S, self._message_timed_out)
         return None
 
     def _message_timed_out(self) -> None:
-        """Reject the message that is arriving, unless reading is paused: its rest may be here then."""
-        if self.channel.paused:
+        """Reject the message that is arriving; while reading is paused, its rest may be here, so later."""
+        has_paused_too_long = self.loop.now - self._message_began_at >= PAUSED_TIMEOUT_S
+        if self.channel.paused and (self._is_outgoing or not has_paused_too_long):
             return self._timer.set(PARTIAL_TIMEOUT_S, self._message_timed_out)
         return self._reject("the message took too long to arrive")
 
