Agent: an order for an instance that the fleet file has removed is refused

While its process ends, start or restart was taken, and the instance ran on although no fleet file names it. The test, with a real process, failed before (the order was accepted).

--- a/tests/test_orders_at_once.py
+++ b/tests/test_orders_at_once.py
@@ -113,6 +113,17 @@
     assert len(router.answers) == 1 and all(map(router.has_ended, router.pids()[:2]))
 
 
+# Guards against an instance that the fleet file has removed and an order starts again.
+def test_an_order_for_a_removed_instance_that_still_ends_is_refused(router: UpgradingRouter) -> None:
+    (pid,) = router.pids()
+    os.kill(pid, signal.SIGSTOP)
+    router.reload(router.fleet_text.replace('"n1"', '"n9"'))
+    refused = router.command("start", "n1")
+    assert refused.exit_code == 1 and "no instance named" in refused.output
+    os.kill(pid, signal.SIGCONT)
+    router.until_in_time(lambda: list(router.agent.instances) == ["n9"] and router.states() == ["ready"])
+
+
 # Guards against a reload that only the old process of an upgrade hears.
 @pytest.mark.parametrize("wait_s", MOMENTS_S)
 def test_a_reload_during_an_upgrade_reaches_the_new_process(
--- a/yewhook/agent/agent.py
+++ b/yewhook/agent/agent.py
@@ -177,7 +177,7 @@
         if self._is_ending:
             raise RpcError(Code.INVALID_REQUEST, StopReason.SHUTDOWN.value)
         instance = self.instances.get(str(params.get("name")))
-        if instance is None:
+        if instance is None or instance.is_removed:
             raise RpcError(Code.INVALID_PARAMS, f"no instance named {params.get('name')!r}")
         if method in actions:
             if (upgrade := instance.orders.upgrade) is not None:
--- a/yewhook/agent/instance.py
+++ b/yewhook/agent/instance.py
@@ -77,7 +77,7 @@
         self._backoff = INITIAL_BACKOFF_S
         self._restart_at = 0.0
         self._restart_after_stop = False
-        self._is_removed = False  # from the fleet file
+        self.is_removed = False  # from the fleet file
         self._probe_results: dict[str, bool] = {}
         self._next_probe_at, self._failed_probes = 0.0, 0
 
@@ -241,7 +241,7 @@
 
     def remove(self) -> None:
         """Stop it since the fleet file does not name it any more; a later one may name it again."""
-        self._is_removed = True
+        self.is_removed = True
         self.stop(StopReason.FLEET_FILE)
 
     def _enter_stopped(self) -> None:
@@ -253,7 +253,7 @@
     def reload(self, spec: InstanceSpec) -> None:
         """Apply a new fleet file: restart if the entry has changed, else have the router reload its files."""
         changed, self.spec = spec != self.spec, spec
-        if self._is_removed:
+        if self.is_removed:
             return self._return_to_fleet()
         if not changed:
             for process in self._serving_processes:
@@ -264,7 +264,7 @@
 
     def _return_to_fleet(self) -> None:
         """Run again, unless an operator wants it stopped."""
-        self._is_removed = False
+        self.is_removed = False
         if not self.wanted:
             return
         if self.state is State.STOPPING:
