Tests of the process: a failed check ends its process, and files may close while listed

The router closes refused discovery connections while the test reads the links of its descriptors; a FileNotFoundError left the with block, which waits for a process that nobody has told to end.

Change: the descriptors are listed anew where one was closed meanwhile; all four tests of this file kill their process at the end, and the two that send SIGTERM wait at most 20 s for it and check its exit status, which one of them did not.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -7,6 +7,8 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import pytest
@@ -29,17 +31,38 @@
     return path
 
 
+@contextmanager
+def started(command: list[str], env: dict[str, str]) -> Iterator[subprocess.Popen[str]]:
+    """Start a process whose log can be read; it is killed at the end, also where a check before its end fails."""
+    with subprocess.Popen(
+        command, cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True
+    ) as process:
+        try:
+            yield process
+        finally:
+            process.kill()
+
+
+def names_of_open_files(pid: int) -> list[str]:
+    """What a process's descriptors refer to, listed anew where one was closed before it could be read."""
+    while True:
+        try:
+            return [os.readlink(path) for path in Path(f"/proc/{pid}/fd").iterdir()]
+        except FileNotFoundError:
+            assert Path(f"/proc/{pid}").exists()
+
+
 def test_sigterm_right_after_the_start_ends_the_process_in_order(tmp_path: Path) -> None:
     env = os.environ | {"PROXY_CONFIG": str(config(tmp_path)), "PROXY_NAME": "n3"}
     command = [sys.executable, "-m", "yewhook", "serve"]
-    with subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True) as process:
+    with started(command, env) as process:
         assert process.stderr is not None
         line = process.stderr.readline()
         # Signal handlers must be installed before this line is written, or the signal kills the process.
         assert " n3 serving: " in line
         process.send_signal(signal.SIGTERM)
-        rest = process.stderr.read()
         assert process.wait(timeout=20) == 0
+        rest = process.stderr.read()
     assert "to ending" in rest and "stopped" in rest and "Traceback" not in rest
 
 
@@ -47,11 +70,10 @@
 def test_a_router_without_clients_takes_three_quarters_of_the_least_memory_at_most(tmp_path: Path) -> None:
     env = os.environ | {"PROXY_CONFIG": str(config(tmp_path)), "PROXY_NAME": "n3"}
     command = [sys.executable, "-m", "yewhook", "serve"]
-    with subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True) as process:
+    with started(command, env) as process:
         assert process.stderr is not None
         assert any(" state: starting to ready" in line for line in process.stderr)
         resident = resident_bytes(process.pid)
-        process.kill()
     assert resident < LEAST_MEMORY_BYTES * 3 / 4
 
 
@@ -66,15 +88,13 @@
     )
     env = os.environ | {"PROXY_CONFIG": str(config(tmp_path)), "PROXY_NAME": "n3"}
     command = [sys.executable, "-c", program]
-    with subprocess.Popen(
-        command, cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True
-    ) as process:
+    with started(command, env) as process:
         assert process.stderr is not None
         assert " n3 serving: " in process.stderr.readline()
         unix_inodes = {line.split()[6] for line in Path("/proc/net/unix").read_text().splitlines()[1:]}
-        open_files = [os.readlink(path) for path in Path(f"/proc/{process.pid}/fd").iterdir()]
+        open_files = names_of_open_files(process.pid)
         process.send_signal(signal.SIGTERM)
-        process.stderr.read()
+        assert process.wait(timeout=20) == 0
     assert open_files and not [
         name for name in open_files if name.removeprefix("socket:[").rstrip("]") in unix_inodes
     ]
@@ -86,7 +106,7 @@
     path = config(tmp_path)
     env = os.environ | {"PROXY_CONFIG": str(path), "PROXY_NAME": "n3", "PROXY_DISCOVERY": "127.0.0.1:1"}
     command = [sys.executable, "-m", "yewhook", "serve"]
-    with subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True) as process:
+    with started(command, env) as process:
         assert process.stderr is not None
 
         def logged(text: str) -> bool:
