--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -33,7 +33,7 @@
 
 @contextmanager
 def started(command: list[str], env: dict[str, str]) -> Iterator[subprocess.Popen[str]]:
-    """Start a process whose log can be read; it is killed at the end, also where a check before its end fails."""
+    """Start a process whose log can be read, and kill it at the end, also where a check fails before that."""
     with subprocess.Popen(
         command, cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True
     ) as process:
