Connections that only wait for their peers to close make room for new ones

Cause: a refused connection lingers for 1 s, so that its client can read why, and is charged 6 KiB meanwhile. Where the process leaves 2.2 MiB to connections (memory_mb 32 on x86-64), 371 refused clients fill that, and every new connection waits for a second.

Change: where memory or sockets are short, connections that have sent all and have lingered for 0.3 s are closed, the oldest first, before anything is refused or idle connections are closed.

--- a/yewhook/acceptor.py
+++ b/yewhook/acceptor.py
@@ -86,13 +86,11 @@
         for _ in range(MAX_ACCEPTS_PER_TURN):
             if self._loop.clock() > end:
                 break
-            if not self._can_accept():
-                self._free_connections()
-                if not self._can_accept():
-                    sockets = f"{self._loop.sockets} open, {self._loop.accepted} of clients"
-                    used = f"{self._loop.memory.charged >> 10} KiB in use"
-                    self._loop.log("too many sockets", f"{sockets}; {used}; accepting later")
-                    return self._retry_later()
+            if not self._make_room():
+                sockets = f"{self._loop.sockets} open, {self._loop.accepted} of clients"
+                used = f"{self._loop.memory.charged >> 10} KiB in use"
+                self._loop.log("too many sockets", f"{sockets}; {used}; accepting later")
+                return self._retry_later()
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
@@ -105,6 +103,14 @@
         self._note_queue_left()
         return True
 
+    def _make_room(self) -> bool:
+        """Whether a connection may be accepted, where need be after others were closed."""
+        if not self._can_accept():
+            self._loop.lingering.close_some(self._loop.now)
+        if not self._can_accept():
+            self._free_connections()
+        return self._can_accept()
+
     def _retry_later(self) -> bool:
         """Stop accepting for ACCEPT_RETRY_S, since trying again at once would keep the loop busy."""
         self._note_queue_left()
--- a/yewhook/channel.py
+++ b/yewhook/channel.py
@@ -156,7 +156,10 @@
             self._watch()
 
     def finish(self) -> None:
-        """Close once all is written and the peer has closed too, or after the timeouts."""
+        """Close once all is written and the peer has closed too, or after the timeouts.
+
+        Where the loop is short of room it is closed sooner, see `LingeringConnections`.
+        """
         if not self.is_open:
             return
         self._finishing, self._flushing, self.paused = True, True, False
@@ -173,6 +176,7 @@
             self.closed = True
             self._finish_timer.cancel()
             self._send_retry_timer.cancel()
+            self.loop.lingering.discard(self)
             self.loop.forget(self._sock)
             self._sock.close()
             self._closed_with_unsent = bool(self._unsent)
@@ -294,6 +298,7 @@
     def _end_sending(self) -> None:
         self._flushed()
         self._finish_timer.set(LINGER_TIMEOUT_S, self.abort)
+        self.loop.lingering.add(self, self.loop.now)
         try:
             self._sock.shutdown(socket.SHUT_WR)
         except OSError:
--- a/yewhook/loop.py
+++ b/yewhook/loop.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from .deadlines import Deadline, Deadlines
+from .lingering import LingeringConnections
 from .log import Log
 from .memory_budget import MemoryBudget, ShedOrder
 from .transient_errors import retry_transient
@@ -57,6 +58,7 @@
         # When the files were polled in this turn and in the one before it
         self.now = self.previous_poll_at = clock()
         self.memory = MemoryBudget()  # of all connections on this loop
+        self.lingering = LingeringConnections()
         self.sockets = 0  # open sockets of this process, as counted by their owners
         self.accepted = 0  # those of them that were accepted
         self.finishing = 0  # those of them that are being finished, see `Channel.finish`
@@ -158,10 +160,13 @@
     def relieve_memory(self) -> None:
         """Make room if more memory is charged than allowed.
 
-        Requests that have not arrived whole are refused, and idle connections closed; these first where such
-        requests hold little. Answers that wait for slow clients are broken off if that is not enough.
+        Connections that only wait for their peers to close are closed before anything else. Requests that
+        have not arrived whole are refused, and idle connections closed; these first where such requests hold
+        little. Answers that wait for slow clients are broken off if that is not enough.
         """
         memory = self.memory
+        if memory.exceeded:
+            self.lingering.close_some(self.now)
         if not memory.exceeded:
             return
         if memory.held(ShedOrder.FIRST) < IDLE_FIRST_HELD_SHARE * memory.limit:
