--- a/tests/processes/test_bad_message_beside_requests.py
+++ b/tests/processes/test_bad_message_beside_requests.py
@@ -27,6 +27,8 @@
 HALF = chat_request("90")[:60]
 REST = chat_request("90")[60:]
 LIMITS = {"memory_mb": 64, "sockets": 256}
+# A router process, the address of its tool-calls front, and its workers' listening sockets
+Router = tuple[Process, Address, dict[str, socket.socket]]
 
 
 class Client:
@@ -37,8 +39,7 @@
         self.sock.settimeout(None)
         self.messages: list[tuple[float, dict[str, Any]]] = []
         self.closed_at: float | None = None
-        self._thread = threading.Thread(target=self._read, daemon=True)
-        self._thread.start()
+        threading.Thread(target=self._read, daemon=True).start()
 
     def _read(self) -> None:
         try:
@@ -106,8 +107,8 @@
 
 
 @pytest.fixture
-def router(tmp_path: Path) -> Iterator[tuple[Process, Address, dict[str, socket.socket]]]:
-    """A router process, the address of its tool-calls front, and its workers' listening sockets."""
+def router(tmp_path: Path) -> Iterator[Router]:
+    """A router process with its workers' sockets; it is killed after the test."""
     with (
         listening_workers() as workers,
         router_process(tmp_path, workers, LIMITS) as (process, address),
@@ -115,9 +116,6 @@
         yield process, address, workers
 
 
-Router = tuple[Process, Address, dict[str, socket.socket]]
-
-
 def send_half(client: Client) -> None:
     client.sock.sendall(HALF)
 
--- a/tests/test_orders_model.py
+++ b/tests/test_orders_model.py
@@ -68,7 +68,6 @@
         self.told_at: float | None = None  # when SIGTERM was sent to it
         self.ending_since: float | None = None  # when it noticed that
         self.reloads_sent, self.reloads_owed = 0, 0
-        self.links_closed = 0
 
     @property
     def booted(self) -> bool:
@@ -116,7 +115,7 @@
         done(self.code is None and not self.hangs)
 
     def close(self) -> None:
-        self.links_closed += 1
+        """Nothing is connected."""
 
 
 class FakeLauncher:
@@ -320,12 +319,8 @@
     @rule(which=st.integers(0, 9))
     def kill_process(self, which: int) -> None:
         router = self._alive()[which % len(self._alive())]
-        upgrading = self.instance._successor is not None
-        if (
-            upgrading
-            and self.instance._successor is not None
-            and self.instance._successor.process.pid == router.pid
-        ):
+        successor = self.instance._successor
+        if successor is not None and successor.process.pid == router.pid:
             self._reach("successor exits")
         elif router.told_at is None:
             self._reach("serving process exits")
--- a/yewhook/agent/instance.py
+++ b/yewhook/agent/instance.py
@@ -89,9 +89,14 @@
     @property
     def _processes(self) -> list[RouterProcess]:
         """All processes that have not exited, as far as is known."""
+        return [*self._serving_processes, *self._stopping, *self._replaced]
+
+    @property
+    def _serving_processes(self) -> list[RouterProcess]:
+        """Those that have not been told to end: the current one and the successor of an upgrade."""
         current = [self._process] if self._process is not None else []
         successors = [self._successor.process] if self._successor is not None else []
-        return [*current, *successors, *self._stopping, *self._replaced]
+        return [*current, *successors]
 
     @property
     def _main_process(self) -> RouterProcess | None:
@@ -226,9 +231,7 @@
         self._restart_after_stop = restart
         if self.state is State.STOPPING:
             return None
-        successor = self._successor
-        stopping = [self._process, successor.process if successor is not None else None]
-        self._stopping = [process for process in stopping if process is not None]
+        successor, self._stopping = self._successor, self._serving_processes
         self._process = None
         for process in self._stopping:
             self._end(process)
@@ -272,12 +275,6 @@
         else:
             self.wait_for_start()
 
-    @property
-    def _serving_processes(self) -> list[RouterProcess]:
-        """Those that have not been told to end."""
-        ending = {*self._stopping, *self._replaced}
-        return [process for process in self._processes if process not in ending]
-
     def kill(self) -> None:
         """Kill all its processes."""
         for process in self._processes:
