--- a/tests/test_lingering.py
+++ b/tests/test_lingering.py
@@ -27,8 +27,7 @@
         listener = listen(("127.0.0.1", 0))
         self.address = listener.getsockname()
         self.channels: list[Channel] = []
-        self.has_room: Callable[[], bool] = lambda: self.loop.accepted < 2
-        Acceptor(self.loop, listener, lambda: self.has_room(), lambda: None, self._accepted)
+        Acceptor(self.loop, listener, lambda: self.loop.accepted < 2, lambda: None, self._accepted)
 
     def _accepted(self, sock: socket.socket) -> None:
         channel = Channel(self.loop, sock, self)
